--- a/adapter/host.h
+++ b/adapter/host.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <optional>
 
-#include "settings.h"
+#include "config/settings.h"
 #include "wire.h"
 
 namespace thistleshunt::wire {
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,239 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace thistleshunt::config {
+namespace {
+
+using net::Json;
+
+// An object of the configuration and where it stands, so that every message can name the key.
+class Section {
+ public:
+  Section(const Json* json, std::string path) : json_(json), path_(std::move(path)) {}
+
+  [[noreturn]] void fail(const std::string& key, const std::string& what) const {
+    throw ConfigError(path_ + (key.empty() ? "" : "." + key) + ": " + what);
+  }
+  [[nodiscard]] const Json* find(const std::string& key) const { return json_ == nullptr ? nullptr : json_->find(key); }
+  [[nodiscard]] Section at(const std::string& key) const {
+    const Json* found = find(key);
+    if (found != nullptr && found->object() == nullptr) fail(key, "must be an object");
+    return {found, path_ + "." + key};
+  }
+  [[nodiscard]] bool given() const { return json_ != nullptr; }
+  [[nodiscard]] std::string text(const std::string& key, std::optional<std::string> fallback = {}) const {
+    const Json* found = find(key);
+    if (found == nullptr) return fallback ? *fallback : (fail(key, "is missing"), "");
+    if (found->string() == nullptr) fail(key, "must be a string");
+    return *found->string();
+  }
+  [[nodiscard]] double number(const std::string& key, double least, double most, std::optional<double> fallback = {}) const {
+    const Json* found = find(key);
+    if (found == nullptr) return fallback ? *fallback : (fail(key, "is missing"), 0.0);
+    const auto value = found->number();
+    if (!value || *value < least || *value > most) {
+      std::ostringstream range;
+      range << "must be a number from " << least << " to " << most;
+      fail(key, range.str());
+    }
+    return *value;
+  }
+  [[nodiscard]] bool flag(const std::string& key, bool fallback) const {
+    const Json* found = find(key);
+    if (found != nullptr && !found->boolean()) fail(key, "must be true or false");
+    return found == nullptr ? fallback : *found->boolean();
+  }
+  [[nodiscard]] std::optional<net::Address> address(const std::string& key) const {
+    if (find(key) == nullptr) return std::nullopt;
+    const auto out = net::parse_address(text(key));
+    if (!out) fail(key, "must be an address as 127.0.0.1:2905, not '" + text(key) + "'");
+    return out;
+  }
+  void only(std::initializer_list<const char*> known) const {
+    if (json_ == nullptr) return;
+    for (const auto& [key, value] : *json_->object()) {
+      if (std::none_of(known.begin(), known.end(), [&key = key](const char* k) { return key == k; }))
+        fail(key, "is not a key of this object");
+    }
+  }
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  const Json* json_;
+  std::string path_;
+};
+
+// The settings as path=value lines, the spelling that one reader serves both wires by.
+void flatten(const Json& json, const std::string& path, std::string& out) {
+  const auto line = [&out](const std::string& key, std::string value) {
+    for (char& c : value) {
+      if (c == ' ' || c == '\n') c = '_';
+    }
+    out += key + "=" + value + "\n";
+  };
+  if (const auto* fields = json.object()) {
+    for (const auto& [key, value] : *fields) flatten(value, path.empty() ? key : path + "." + key, out);
+  } else if (const auto* items = json.array()) {
+    std::string joined;
+    bool plain = true;
+    for (const Json& item : *items) {
+      const auto text = item.plain();
+      plain = plain && text;
+      if (text) joined += (joined.empty() ? "" : ",") + *text;
+    }
+    if (plain) return line(path, joined);
+    line(path + ".count", std::to_string(items->size()));
+    for (std::size_t i = 0; i < items->size(); ++i) flatten((*items)[i], path + "." + std::to_string(i), out);
+  } else if (const auto text = json.plain()) {
+    line(path, *text);
+  }
+}
+
+core::OfficeEntry read_endpoint(const Section& at) {
+  core::OfficeEntry out;
+  const auto id = net::parse_office_name(at.text("name"));
+  if (!id) at.fail("name", "must be s- and 8 hex digits, not '" + at.text("name") + "'");
+  out.entry.server = *id;
+  const auto address = at.address("address");
+  if (!address) at.fail("address", "is missing");
+  out.address = net::to_text(*address);
+  const std::string state = at.text("status");
+  if (state == "in_service") {
+    out.entry.state = ServerState::ready;
+  } else if (state == "terminating") {
+    out.entry.state = ServerState::draining;
+  } else if (state == "terminated") {
+    out.entry.state = ServerState::gone;
+  } else {
+    at.fail("status", "must be in_service, terminating or terminated, not '" + state + "'");
+  }
+  out.entry.place = static_cast<std::uint32_t>(at.number("group", 0, 65535, 0.0));
+  out.entry.capacity = at.number("weight", 0, 1.0e9, 1.0);
+  const double since = at.number("since_ms", 0, 9.0e12, 0.0);
+  out.entry.started_at = Time{std::chrono::milliseconds(static_cast<std::int64_t>(since))};
+  return out;
+}
+
+void read_known(const Section& known, Node& node) {
+  if (!known.given()) return;
+  node.known_no = static_cast<std::uint64_t>(known.number("no", 0, 9.0e15));
+  const Json* items = known.find("items");
+  if (items == nullptr || items->array() == nullptr) known.fail("items", "must be a list");
+  std::map<ServerId, core::OfficeEntry> list;
+  for (std::size_t i = 0; i < items->array()->size(); ++i) {
+    const Section item(&(*items->array())[i], known.path() + ".items." + std::to_string(i));
+    const Section roster = item.at("roster");
+    if (!roster.given()) continue;
+    const Json* endpoints = roster.find("endpoints");
+    if (endpoints == nullptr || endpoints->array() == nullptr) roster.fail("endpoints", "must be a list");
+    if (roster.flag("snapshot", false)) list.clear();
+    for (std::size_t e = 0; e < endpoints->array()->size(); ++e) {
+      const core::OfficeEntry entry =
+          read_endpoint({&(*endpoints->array())[e], roster.path() + ".endpoints." + std::to_string(e)});
+      list[entry.entry.server] = entry;
+    }
+  }
+  for (const auto& [id, entry] : list) node.known.push_back(entry);
+}
+
+}  // namespace
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  if (!in || !(text << in.rdbuf())) throw ConfigError(path + ": cannot be read");
+  return text.str();
+}
+
+Json read_json(const std::string& path) {
+  const std::string text = read_file(path);
+  try {
+    Json out = Json::parse(text);
+    if (out.object() == nullptr) throw ConfigError(path + ": must hold a JSON object");
+    return out;
+  } catch (const net::JsonError& error) {
+    throw ConfigError(path + ": " + error.what());
+  }
+}
+
+Node read_node(const Json& json, const std::string& source) {
+  const Section top(&json, source);
+  Node out;
+  out.name = top.text("name", "reeltack");
+  out.listen = top.address("listen");
+  out.bulletin = top.address("bulletin");
+  const std::string seed = top.text("seed", "0000000000000001");
+  if (seed.empty() || seed.size() > 16 || seed.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+    top.fail("seed", "must be up to 16 hex digits, not '" + seed + "'");
+  out.seed = std::strtoull(seed.c_str(), nullptr, 16);
+  const Section limits = top.at("limits");
+  out.limits.cores = limits.number("cores", 0.01, 1024, out.limits.cores);
+  out.limits.memory_mb = static_cast<std::size_t>(limits.number("memory_mb", 16, 1.0e7, 192.0));
+  out.limits.sockets = static_cast<std::size_t>(limits.number("sockets", 32, 1.0e7, 1024.0));
+  read_known(top.at("known"), out);
+  const Json* settings = top.find("settings");
+  if (settings == nullptr || settings->object() == nullptr) top.fail("settings", "must be an object");
+  std::string lines;
+  flatten(*settings, "", lines);
+  try {
+    out.settings = wire::parse_settings(lines).settings;
+  } catch (const wire::SettingsError& error) {
+    throw ConfigError(source + ".settings: " + error.what());
+  }
+  const Json* classes = settings->find("Classes");
+  if (classes == nullptr || classes->array() == nullptr) top.fail("settings.Classes", "must be a list");
+  for (std::size_t i = 0; i < classes->array()->size(); ++i) {
+    const Section one(&(*classes->array())[i], source + ".settings.Classes." + std::to_string(i));
+    out.class_names.push_back(one.text("Name"));
+    if (std::count(out.class_names.begin(), out.class_names.end(), out.class_names.back()) > 1)
+      one.fail("Name", "names a class twice");
+  }
+  const Section limits_of_policy = top.at("settings").at("PolicyLimits");
+  out.dial_limit = Duration{static_cast<std::int64_t>(limits_of_policy.number("DialTimeoutNs", 1.0e6, 6.0e10, 5.0e8))};
+  return out;
+}
+
+Fronts read_fronts(const Json& json, const std::string& source) {
+  const Section top(&json, source);
+  top.only({"websocket", "zone"});
+  Fronts out;
+  const Section websocket = top.at("websocket");
+  websocket.only({"on", "clients", "centrales", "connections"});
+  if (websocket.flag("on", false)) {
+    out.websocket = websocket.address("clients");
+    if (!out.websocket) websocket.fail("clients", "is missing");
+    out.centrales = websocket.address("centrales");
+    out.websocket_connections = static_cast<std::size_t>(websocket.number("connections", 1, 100000, 128.0));
+  }
+  const Section zone = top.at("zone");
+  zone.only({"on", "file", "service", "updates"});
+  if (zone.flag("on", false)) {
+    out.zone_file = zone.text("file");
+    out.zone_service = zone.text("service");
+    if (out.zone_service.empty() || out.zone_service.back() != '.')
+      zone.fail("service", "must be a whole domain name that ends in a dot");
+    out.updates = zone.address("updates");
+  }
+  return out;
+}
+
+Node node_from_environment() {
+  const char* path = std::getenv("PROXY_CONFIG");
+  if (path == nullptr) throw ConfigError("PROXY_CONFIG: is missing from the environment");
+  Node out = read_node(read_json(path), path);
+  if (const char* name = std::getenv("PROXY_NAME")) out.name = name;
+  if (const char* listen = std::getenv("PROXY_LISTEN")) {
+    out.listen = net::parse_address(listen);
+    if (!out.listen) throw ConfigError("PROXY_LISTEN: must be an address as 127.0.0.1:2905, not '" + std::string(listen) + "'");
+  }
+  return out;
+}
+
+}  // namespace thistleshunt::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,62 @@
+// All that the program is told: environment, JSON configuration and our own deploy file.
+//
+// Owns: reading, checking and defaulting of every key; the only place that does.
+// Must never: let a key that cannot be read pass, or start anything.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "config/settings.h"
+#include "core/core.h"
+#include "net/json.h"
+
+namespace thistleshunt::config {
+
+// The text names the file and the key at fault.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Limits {
+  double cores = 1.0;
+  std::size_t memory_mb = 192;
+  std::size_t sockets = 1024;
+};
+
+// One controller, as the platform (or a written application configuration) tells it.
+struct Node {
+  std::string name = "reeltack";
+  std::optional<net::Address> listen;    // where SIP callers connect
+  std::optional<net::Address> bulletin;  // none: the offices come from elsewhere
+  std::uint64_t seed = 1;
+  Limits limits;
+  std::uint64_t known_no = 0;
+  std::vector<core::OfficeEntry> known;  // the list after all events of the start
+  Settings settings;
+  std::vector<std::string> class_names;
+  Duration dial_limit = std::chrono::milliseconds(500);
+};
+
+// Our own deploy file: the second front and the zone. All off where nothing says otherwise.
+struct Fronts {
+  std::optional<net::Address> websocket;
+  std::size_t websocket_connections = 128;
+  std::optional<net::Address> centrales;  // where centrales connect to the second front
+  std::optional<net::Address> updates;    // dynamic updates of the zone
+  std::string zone_file;
+  std::string zone_service;  // the owner name whose SRV records are the offices
+};
+
+std::string read_file(const std::string& path);
+net::Json read_json(const std::string& path);
+Node read_node(const net::Json& json, const std::string& source);
+Fronts read_fronts(const net::Json& json, const std::string& source);
+
+// From PROXY_CONFIG, with PROXY_NAME and PROXY_LISTEN before the file's own words.
+Node node_from_environment();
+
+}  // namespace thistleshunt::config
--- a/adapter/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "config/settings.h"
 
 #include <charconv>
 #include <cmath>
--- /dev/null
+++ b/src/core/book.cpp
@@ -0,0 +1,106 @@
+// Book: the table of calls and the list of offices.
+//
+// Owns: each call's one final answer, how long its record is kept after, and which calls stand where.
+// Must never: forget a call that stands, or keep the others for ever.
+#include "core/core.h"
+
+namespace thistleshunt::core {
+namespace {
+
+// So long a call's record outlives its end: a late answer or a client that asks again finds it.
+constexpr Duration kKept = std::chrono::seconds(30);
+
+FullReason reason_of(const std::string& note) {
+  if (note == "blocked") return FullReason::no_lines;
+  if (note == "swamped") return FullReason::processor;
+  if (note == "bounced" || note == "far_swamped") return FullReason::turned_back;
+  return FullReason::unknown;
+}
+
+}  // namespace
+
+Core::Record* Core::find(CallId call) {
+  const auto found = calls_.find(call);
+  return found == calls_.end() ? nullptr : &found->second;
+}
+
+void Core::tell_ended(const Record& record, const Attempt& attempt, Ending ending, bool call_over,
+                      const Outcome* told) {
+  AttemptEnded event;
+  event.call = record.request.told.call;
+  event.attempt = attempt.number;
+  event.server = attempt.office;
+  event.ending = ending;
+  event.call_over = call_over;
+  event.elapsed = now_ - attempt.sent;
+  if (told != nullptr) {
+    event.number_busy = ending == Ending::busy_or_error && told->note == "occupied";
+    if (ending == Ending::full) event.reason = reason_of(told->note);
+    event.report = told->report;
+  }
+  events_.emplace_back(event);
+}
+
+// The one final answer of a call that does not stand.
+void Core::finish(Record& record, Phase phase, Why why, Duration later) {
+  record.phase = phase;
+  record.why = why;
+  --open_;
+  ++(phase == Phase::refused ? counts_.refused : phase == Phase::failed ? counts_.failed : counts_.given_up);
+  const CallId call = record.request.told.call;
+  timers_.emplace(now_ + kKept, Due{Due::Kind::forget, static_cast<std::uint64_t>(call), 0});
+  record.request.description.clear();
+  record.request.side->refused(call, why, later);
+}
+
+// A call that stood is over.
+void Core::close(Record& record) {
+  record.phase = Phase::over;
+  record.request.description.clear();
+  standing(record.stands_at, -1);
+  timers_.emplace(now_ + kKept,
+                  Due{Due::Kind::forget, static_cast<std::uint64_t>(record.request.told.call), 0});
+}
+
+void Core::standing(ServerId office, int change) {
+  int& n = standing_[office];
+  n += change;
+  if ((n == 1 && change > 0) || n == 0) offices_->keep(office, n > 0);
+  if (n == 0) standing_.erase(office);
+}
+
+// The process there has died or its machine is gone: its calls are cut, and their callers must hear of it.
+void Core::cut_calls_at(ServerId office) {
+  if (!standing_.contains(office)) return;
+  for (auto& [call, record] : calls_) {
+    if (record.phase != Phase::stands || record.stands_at != office) continue;
+    tell_ended(record, {record.attempts - 1, office, now_}, Ending::reset, true);
+    close(record);
+    record.request.side->released(call, kTemporaryFailure);
+  }
+}
+
+void Core::list(bool complete, const std::vector<OfficeEntry>& offices) {
+  ListTold event;
+  event.complete = complete;
+  std::vector<ServerId> over;
+  if (complete) {
+    for (auto& [id, entry] : listed_) {
+      bool kept = false;
+      for (const OfficeEntry& o : offices) kept = kept || o.entry.server == id;
+      if (!kept) entry.state = ServerState::gone, over.push_back(id);
+    }
+  }
+  for (const OfficeEntry& o : offices) {
+    const ServerEntry& entry = o.entry;
+    event.entries.push_back(entry);
+    const auto known = listed_.find(entry.server);
+    const bool restarted = known != listed_.end() && entry.started_at > known->second.started_at;
+    if (restarted || entry.state == ServerState::gone) over.push_back(entry.server);
+    listed_[entry.server] = entry;
+  }
+  for (const ServerId id : over) cut_calls_at(id);
+  events_.emplace_back(std::move(event));
+}
+
+}  // namespace thistleshunt::core
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,197 @@
+// The core: requests, attempts, outcomes and offices, and the one thread that decides on them.
+//
+// Owns: the Controller, the table of calls, the timers, and the rules that hold whatever crosses (one final
+//   answer a call, one attempt out at a time, a given-up attempt told to its office before the module hears).
+// Must never: know a wire, a socket or JSON; block on a peer; let any thread but its own touch the table.
+//
+// A request's stages, a unit each: take_in (inbox, batch, clock), admit, route (the module), send, relay, book.
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "net/net.h"
+#include "thistleshunt/controller.h"
+
+namespace thistleshunt::core {
+
+inline constexpr int kNormalClearing = 16;   // Q.850: given up, or over
+inline constexpr int kTemporaryFailure = 41;  // Q.850: cut
+
+// Why a request failed; the fronts have names of their own for these.
+enum class Why { none, refused, tried_in_vain, deadline_passed, duplicate, unknown_class, given_up };
+
+// A front, as the core sees it. Called on the core's thread; must not block.
+class CallerSide {
+ public:
+  virtual ~CallerSide() = default;
+  // False: the answer cannot reach the caller any more.
+  virtual bool stands(CallId call, const std::string& description) = 0;
+  virtual void refused(CallId call, Why why, Duration later) = 0;
+  virtual void released(CallId call, int cause) = 0;
+};
+
+struct SetUp {
+  CallId call{};
+  std::uint32_t attempt = 0;
+  ServerId office{};
+  Time give_up{};
+  std::uint32_t call_class = 0;
+  NumberCalled number{};
+  std::string description;
+};
+struct OfficeEntry {
+  ServerEntry entry;
+  std::string address;
+};
+
+// The offices, as the core sees them. Must not block. `listed` comes from the thread that heard the news.
+class OfficeSide {
+ public:
+  virtual ~OfficeSide() = default;
+  virtual void listed(bool complete, const std::vector<OfficeEntry>& offices) = 0;
+  virtual void start(const SetUp& set_up) = 0;
+  virtual void give_up(ServerId office, CallId call, std::uint32_t attempt) = 0;
+  virtual void release(ServerId office, CallId call) = 0;
+  virtual void keep(ServerId office, bool calls_stand) = 0;
+};
+
+struct Request {
+  CallArrived told;         // with the absolute deadline
+  bool class_known = true;  // else it is refused here
+  std::string description;
+  CallerSide* side = nullptr;
+};
+
+// What an office said that ends an attempt or a call.
+struct Outcome {
+  ServerId office{};
+  CallId call{};
+  int cause = 0;
+  std::string note;
+  LoadReport report;
+};
+
+enum class Phase { unknown, open, stands, refused, failed, given_up, over };
+struct Status {  // of a call, for a client that asks
+  Phase phase = Phase::unknown;
+  Why why = Why::none;
+  std::string description;
+  CallerSide* side = nullptr;
+};
+
+class Core {
+ public:
+  Core(const Settings& settings, std::uint64_t seed);
+  ~Core();
+  Core(const Core&) = delete;
+  Core& operator=(const Core&) = delete;
+
+  void start(OfficeSide& offices);  // the thread begins; once
+  void stop();                      // ends the thread
+
+  // For fronts, from any thread.
+  void request(Request request);
+  void give_up(CallId call);  // the caller waits no longer
+  void release(CallId call);  // the caller ends a call that stands
+  void ask(CallId call, std::function<void(const Status&)> answer);  // answered on the core's thread
+
+  // For the offices' side, from any thread.
+  void answered(ServerId office, CallId call, std::string description);
+  void ended(Outcome outcome);
+  void reported(ServerId office, const LoadReport& report);
+  void send_failed(CallId call, std::uint32_t attempt, Ending ending);
+  void office_died(ServerId office);  // every call that stands there is cut
+  void told(bool complete, std::vector<OfficeEntry> offices);
+
+  [[nodiscard]] bool ready() const { return ready_; }  // a list is held and the module has taken it
+  [[nodiscard]] std::size_t open_calls() const { return open_; }
+  // For supervision and tests: what the table counted.
+  struct Counts {
+    std::atomic<std::uint64_t> requests{0}, stood{0}, refused{0}, failed{0}, given_up{0}, attempts{0};
+  };
+  [[nodiscard]] const Counts& counts() const { return counts_; }
+
+ private:
+  struct Attempt {
+    std::uint32_t number = 0;
+    ServerId office{};
+    Time sent{};
+  };
+  struct Record {
+    Request request;
+    Phase phase = Phase::open;
+    Why why = Why::none;
+    std::uint32_t attempts = 0;
+    std::optional<Attempt> out;
+    ServerId stands_at{};
+    std::string answer;
+  };
+  struct Due {
+    enum class Kind { module, attempt, deadline, forget } kind{};
+    std::uint64_t id = 0;  // token or call
+    std::uint32_t attempt = 0;
+  };
+  using Task = std::function<void()>;
+
+  // take_in
+  void post(Task task);
+  void run();
+  void take_timers();
+  // admit
+  void admit(Request request);
+  // route
+  void route();
+  void carry_out(const Action& action);
+  // send
+  void send(const SendSetUp& wanted);
+  void abandon(Record& record, Ending ending, bool call_over);
+  void attempt_over(CallId call, std::uint32_t attempt, Ending ending);
+  // relay
+  void relay_answer(ServerId office, CallId call, std::string description);
+  void relay_end(const Outcome& outcome);
+  void relay_release(CallId call);
+  void relay_give_up(CallId call);
+  // book
+  Record* find(CallId call);
+  void tell_ended(const Record& record, const Attempt& attempt, Ending ending, bool call_over,
+                  const Outcome* told = nullptr);
+  void finish(Record& record, Phase phase, Why why, Duration later);
+  void close(Record& record);
+  void cut_calls_at(ServerId office);
+  void list(bool complete, const std::vector<OfficeEntry>& offices);
+  void standing(ServerId office, int change);
+
+  Controller controller_;
+  Settings settings_;
+  OfficeSide* offices_ = nullptr;
+  Counts counts_;
+  std::atomic<bool> ready_{false};
+  std::atomic<std::size_t> open_{0};
+
+  std::mutex lock_;  // guards the inbox alone
+  std::condition_variable filled_;
+  std::vector<Task> inbox_;
+  bool stopping_ = false;
+
+  // The core thread's own.
+  Time now_{};
+  std::vector<Event> events_;
+  ActionSink actions_;
+  std::unordered_map<CallId, Record> calls_;
+  std::multimap<Time, Due> timers_;
+  std::map<ServerId, ServerEntry> listed_;
+  std::map<ServerId, int> standing_;
+  net::Thread thread_;
+};
+
+}  // namespace thistleshunt::core
--- /dev/null
+++ b/src/core/relay.cpp
@@ -0,0 +1,85 @@
+// Relay: what offices and callers say about attempts and standing calls, passed on to the other side.
+//
+// Owns: the meaning of causes and notes, and the release of whatever has stood and is over.
+// Must never: answer a call twice, or leave an office holding a call that nobody wants.
+#include "core/core.h"
+
+namespace thistleshunt::core {
+namespace {
+
+Ending ending_of(int cause) {
+  switch (cause) {
+    case 34:
+      return Ending::full;
+    case 102:
+      return Ending::not_sent;
+    case kTemporaryFailure:
+      return Ending::reset;
+    case kNormalClearing:
+      return Ending::cancelled;
+    default:  // 17, 47 and what the protocol does not name
+      return Ending::busy_or_error;
+  }
+}
+
+}  // namespace
+
+void Core::relay_answer(ServerId office, CallId call, std::string description) {
+  Record* r = find(call);
+  if (r != nullptr && r->phase == Phase::stands && r->stands_at == office) return;  // said twice
+  if (r == nullptr || r->phase != Phase::open || !r->out || r->out->office != office) {
+    offices_->release(office, call);  // an answer that crossed our giving up: nobody wants the call
+    return;
+  }
+  const Attempt attempt = *r->out;
+  r->out.reset();
+  r->phase = Phase::stands;
+  r->stands_at = office;
+  r->answer = std::move(description);
+  --open_;
+  ++counts_.stood;
+  standing(office, +1);
+  events_.emplace_back(CallStands{call, attempt.number, office, now_ - attempt.sent});
+  if (r->request.side->stands(call, r->answer)) return;
+  offices_->release(office, call);  // the caller is out of reach, so the call is over
+  close(*r);
+}
+
+void Core::relay_end(const Outcome& outcome) {
+  Record* r = find(outcome.call);
+  const bool known = listed_.contains(outcome.office);
+  if (known && outcome.report.free_lines >= 0.0)
+    events_.emplace_back(ServerReported{outcome.office, true, {}, outcome.report});
+  if (r == nullptr) return;
+  if (r->phase == Phase::stands && r->stands_at == outcome.office) {
+    const Attempt attempt{r->attempts - 1, outcome.office, now_};
+    tell_ended(*r, attempt, outcome.cause == kNormalClearing ? Ending::ok : Ending::reset, true, &outcome);
+    close(*r);
+    r->request.side->released(outcome.call, outcome.cause);
+    return;
+  }
+  if (r->phase != Phase::open || !r->out || r->out->office != outcome.office) return;
+  const Attempt attempt = *r->out;
+  r->out.reset();
+  tell_ended(*r, attempt, ending_of(outcome.cause), false, &outcome);
+}
+
+void Core::relay_release(CallId call) {
+  Record* r = find(call);
+  if (r == nullptr) return;
+  if (r->phase == Phase::open) return relay_give_up(call);  // it crossed our answer, or came too early
+  if (r->phase != Phase::stands) return;
+  offices_->release(r->stands_at, call);
+  tell_ended(*r, {r->attempts - 1, r->stands_at, now_}, Ending::cancelled, true);
+  close(*r);
+}
+
+void Core::relay_give_up(CallId call) {
+  Record* r = find(call);
+  if (r == nullptr || r->phase != Phase::open) return;  // answered already: that answer stays the only one
+  events_.emplace_back(CallerLeft{call});
+  abandon(*r, Ending::cancelled, true);
+  finish(*r, Phase::given_up, Why::given_up, {});
+}
+
+}  // namespace thistleshunt::core
--- /dev/null
+++ b/src/core/send.cpp
@@ -0,0 +1,47 @@
+// Send: attempts, from the module's wish to their giving up.
+//
+// Owns: that a call has one attempt out at the most, that the cap holds, and that an attempt is given up to
+//   its office before its end is told to the module.
+// Must never: choose an office, or send to one that the table does not list as ready.
+#include "core/core.h"
+
+namespace thistleshunt::core {
+
+void Core::send(const SendSetUp& wanted) {
+  Record* r = find(wanted.call);
+  if (r == nullptr || r->phase != Phase::open) return;
+  const Attempt attempt{r->attempts, wanted.server, now_};
+  const auto office = listed_.find(wanted.server);
+  const bool ready = office != listed_.end() && office->second.state == ServerState::ready;
+  if (!ready || r->out || r->attempts >= settings_.attempts_cap) {
+    // Guards the rules against a mistake anywhere above: what must not go out is moot, at once.
+    ++r->attempts;
+    return tell_ended(*r, attempt, Ending::not_sent, false);
+  }
+  ++r->attempts;
+  ++counts_.attempts;
+  r->out = attempt;
+  const Time latest = r->request.told.caller_leaves;
+  const Time give_up = wanted.give_up == Time{} ? latest : std::min(wanted.give_up, latest);
+  if (give_up < latest)  // the deadline has a timer of its own
+    timers_.emplace(give_up, Due{Due::Kind::attempt, static_cast<std::uint64_t>(wanted.call), attempt.number});
+  const CallArrived& told = r->request.told;
+  offices_->start({wanted.call, attempt.number, wanted.server, give_up, told.call_class, told.number,
+                   r->request.description});
+}
+
+void Core::abandon(Record& record, Ending ending, bool call_over) {
+  if (!record.out) return;
+  const Attempt attempt = *record.out;
+  record.out.reset();
+  offices_->give_up(attempt.office, record.request.told.call, attempt.number);
+  tell_ended(record, attempt, ending, call_over);
+}
+
+void Core::attempt_over(CallId call, std::uint32_t number, Ending ending) {
+  Record* r = find(call);
+  if (r == nullptr || r->phase != Phase::open || !r->out || r->out->number != number) return;
+  abandon(*r, ending, false);
+}
+
+}  // namespace thistleshunt::core
--- /dev/null
+++ b/src/core/take_in.cpp
@@ -0,0 +1,123 @@
+// Take in: the inbox, the one thread, its clock and its timers.
+//
+// Owns: that all that came since the last turn is handed on as one batch, at one time that never goes back.
+// Must never: decide on a call, or run a task on any other thread than the core's.
+#include "core/core.h"
+
+namespace thistleshunt::core {
+
+Core::Core(const Settings& settings, std::uint64_t seed) : controller_(settings, seed), settings_(settings) {}
+Core::~Core() { stop(); }
+
+void Core::start(OfficeSide& offices) {
+  offices_ = &offices;
+  now_ = net::now();
+  thread_ = net::Thread([this] { run(); });
+}
+
+void Core::stop() {
+  {
+    const std::lock_guard hold(lock_);
+    stopping_ = true;
+    filled_.notify_one();
+  }
+  thread_.join();
+}
+
+void Core::post(Task task) {
+  const std::lock_guard hold(lock_);
+  inbox_.push_back(std::move(task));
+  if (inbox_.size() == 1) filled_.notify_one();
+}
+
+void Core::request(Request request) {
+  ++open_;  // from here on it is owed an answer, and the program may not end
+  post([this, r = std::move(request)]() mutable { admit(std::move(r)); });
+}
+void Core::give_up(CallId call) {
+  post([this, call] { relay_give_up(call); });
+}
+void Core::release(CallId call) {
+  post([this, call] { relay_release(call); });
+}
+void Core::ask(CallId call, std::function<void(const Status&)> answer) {
+  post([this, call, answer = std::move(answer)] {
+    const Record* r = find(call);
+    answer(r == nullptr ? Status{} : Status{r->phase, r->why, r->answer, r->request.side});
+  });
+}
+void Core::answered(ServerId office, CallId call, std::string description) {
+  post([this, office, call, d = std::move(description)]() mutable { relay_answer(office, call, std::move(d)); });
+}
+void Core::ended(Outcome outcome) {
+  post([this, o = std::move(outcome)] { relay_end(o); });
+}
+void Core::reported(ServerId office, const LoadReport& report) {
+  post([this, office, report] {
+    if (listed_.contains(office)) events_.emplace_back(ServerReported{office, true, {}, report});
+  });
+}
+void Core::send_failed(CallId call, std::uint32_t attempt, Ending ending) {
+  post([this, call, attempt, ending] { attempt_over(call, attempt, ending); });
+}
+void Core::office_died(ServerId office) {
+  post([this, office] { cut_calls_at(office); });
+}
+void Core::told(bool complete, std::vector<OfficeEntry> offices) {
+  // The senders' side hears first: a set-up that is about to leave must not reach an office told as draining.
+  if (offices_ != nullptr) offices_->listed(complete, offices);
+  post([this, complete, o = std::move(offices)] { list(complete, o); });
+}
+
+void Core::run() {
+  std::vector<Task> batch;
+  for (;;) {
+    {
+      std::unique_lock hold(lock_);
+      const auto filled = [this] { return stopping_ || !inbox_.empty(); };
+      if (timers_.empty()) {
+        filled_.wait(hold, filled);
+      } else {
+        const auto at = std::chrono::time_point<std::chrono::system_clock, Duration>(
+            timers_.begin()->first.time_since_epoch());
+        filled_.wait_until(hold, at, filled);
+      }
+      if (stopping_) return;
+      batch.swap(inbox_);
+    }
+    // A clock set back must not reach the module, whose time never does.
+    now_ = std::max(now_, net::now());
+    for (Task& task : batch) task();
+    batch.clear();
+    take_timers();
+    while (!events_.empty()) route();
+  }
+}
+
+void Core::take_timers() {
+  while (!timers_.empty() && timers_.begin()->first <= now_) {
+    const Due due = timers_.begin()->second;
+    timers_.erase(timers_.begin());
+    const CallId call{due.id};
+    switch (due.kind) {
+      case Due::Kind::module:
+        events_.emplace_back(TimerFired{TimerToken{due.id}});
+        break;
+      case Due::Kind::attempt:
+        attempt_over(call, due.attempt, Ending::timeout);
+        break;
+      case Due::Kind::deadline:
+        if (Record* r = find(call); r != nullptr && r->phase == Phase::open) {
+          events_.emplace_back(CallerLeft{call});
+          abandon(*r, Ending::timeout, true);
+          finish(*r, Phase::failed, Why::deadline_passed, {});
+        }
+        break;
+      case Due::Kind::forget:
+        if (const Record* r = find(call); r != nullptr && r->phase != Phase::stands) calls_.erase(call);
+        break;
+    }
+  }
+}
+
+}  // namespace thistleshunt::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,92 @@
+// The session controller as one process: wires configuration, core, fronts and offices together.
+//
+// Owns: the order of start and end, and the process's own limits.
+// Must never: decide on a call, or end while a request that was taken has no answer.
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <csignal>
+#include <cstdio>
+#include <exception>
+
+#include "config/config.h"
+#include "platform/bulletin.h"
+#include "platform/offices.h"
+#include "platform/sip.h"
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace thistleshunt;
+
+// After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more.
+constexpr Duration kStillTaking = 750ms;
+
+void wait_for_end(const core::Core& core) {
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  int which = 0;
+  sigwait(&ends, &which);
+  net::log_line("asked to end: answering what was taken");
+  const Time until = net::now() + kStillTaking;
+  // A step is short, so that the end follows soon after the last answer.
+  while (net::now() < until || core.open_calls() > 0) {
+    timespec step{0, 10'000'000};
+    ::nanosleep(&step, nullptr);
+  }
+}
+
+int run(int argc, char** argv) {
+  config::Fronts fronts;
+  if (argc > 1) fronts = config::read_fronts(config::read_json(argv[1]), argv[1]);
+  const config::Node node = config::node_from_environment();
+
+  // Callers may hold a third of the descriptors; a few more places let new ones in while old ones end.
+  const std::size_t callers = node.limits.sockets * 45 / 100;
+  core::Core core(node.settings, node.seed);
+  platform::Offices offices(core, node.class_names, node.dial_limit);
+  platform::SipFront sip(core, node.class_names, callers);
+  // On every way out the core's thread ends before what it calls is gone.
+  const struct Ended {
+    core::Core& core;
+    ~Ended() { core.stop(); }
+  } ended{core};
+  core.start(offices);
+  if (!node.known.empty()) core.told(true, node.known);
+  std::optional<platform::Bulletin> bulletin;
+  if (node.bulletin) bulletin.emplace(core, *node.bulletin, node.known_no);
+  if (node.listen) sip.open(*node.listen);
+  net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
+
+  wait_for_end(core);
+  sip.close_all();
+  bulletin.reset();
+  core.stop();
+  const auto& c = core.counts();
+  net::log_line("ended: " + std::to_string(c.requests) + " requests, " + std::to_string(c.stood) + " stood, " +
+                std::to_string(c.refused) + " refused, " + std::to_string(c.failed) + " failed, " +
+                std::to_string(c.given_up) + " given up, " + std::to_string(c.attempts) + " attempts");
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  // Each arena reserves and keeps memory of its own; hundreds of threads must share two.
+  ::mallopt(M_ARENA_MAX, 2);
+  std::signal(SIGPIPE, SIG_IGN);
+  // Blocked in every thread, so that the one that waits for them takes them.
+  sigset_t ends;
+  sigemptyset(&ends);
+  sigaddset(&ends, SIGTERM);
+  sigaddset(&ends, SIGINT);
+  ::pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  try {
+    return run(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "reeltack: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/net.cpp
@@ -0,0 +1,280 @@
+#include "net/net.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+#include <stdexcept>
+
+#include "net/json.h"
+
+namespace thistleshunt::net {
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr std::size_t kStack = 1024U * 1024U;
+#else
+constexpr std::size_t kStack = 128U * 1024U;
+#endif
+
+// Waits until the descriptor is ready; false at the deadline.
+bool wait_for(int fd, short what, Time deadline) {
+  for (;;) {
+    int wait = -1;
+    if (deadline != kNever) {
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - now()).count();
+      wait = static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000));
+    }
+    pollfd p{fd, what, 0};
+    const int n = ::poll(&p, 1, wait);
+    if (n > 0) return true;
+    if (n < 0 && errno != EINTR) return true;  // the call that follows shows the error
+    if (n == 0 && now() >= deadline) return false;
+  }
+}
+
+std::optional<sockaddr_in> resolve(const Address& address) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(address.port);
+  if (::inet_pton(AF_INET, address.host.c_str(), &out.sin_addr) != 1) return std::nullopt;
+  return out;
+}
+
+void no_delay(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+Time now() {
+  return Time{std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())};
+}
+
+Fd& Fd::operator=(Fd&& other) noexcept {
+  if (this != &other) {
+    reset();
+    fd_ = std::exchange(other.fd_, -1);
+  }
+  return *this;
+}
+void Fd::reset() {
+  if (fd_ >= 0) ::close(fd_);
+  fd_ = -1;
+}
+void Fd::shut() const {
+  if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
+}
+
+Thread::Thread(std::function<void()> body) {
+  pthread_attr_t attributes;
+  ::pthread_attr_init(&attributes);
+  ::pthread_attr_setstacksize(&attributes, kStack);
+  auto held = std::make_unique<std::function<void()>>(std::move(body));
+  const auto start = [](void* given) -> void* {
+    const std::unique_ptr<std::function<void()>> mine(static_cast<std::function<void()>*>(given));
+    (*mine)();
+    return nullptr;
+  };
+  const int error = ::pthread_create(&id_, &attributes, start, held.get());
+  ::pthread_attr_destroy(&attributes);
+  if (error != 0) throw std::runtime_error(std::string("no thread: ") + std::strerror(error));
+  static_cast<void>(held.release());  // the thread owns it now
+  running_ = true;
+}
+Thread::Thread(Thread&& other) noexcept : id_(other.id_), running_(std::exchange(other.running_, false)) {}
+Thread& Thread::operator=(Thread&& other) noexcept {
+  if (this != &other) {
+    join();
+    id_ = other.id_;
+    running_ = std::exchange(other.running_, false);
+  }
+  return *this;
+}
+void Thread::join() {
+  if (running_) ::pthread_join(id_, nullptr);
+  running_ = false;
+}
+
+std::optional<Address> parse_address(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  Address out{std::string(text.substr(0, colon)), 0};
+  const std::string_view port = text.substr(colon + 1);
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), out.port);
+  if (error != std::errc{} || end != port.data() + port.size() || port.empty() || !resolve(out)) return std::nullopt;
+  return out;
+}
+std::string to_text(const Address& address) { return address.host + ":" + std::to_string(address.port); }
+
+Dialled dial(const Address& to, Time deadline) {
+  const auto target = resolve(to);
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd || !target) return {};
+  no_delay(fd.get());
+  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0) {
+    if (errno == ECONNREFUSED) return {Fd{}, Dial::refused};
+    if (errno != EINPROGRESS || !wait_for(fd.get(), POLLOUT, deadline)) return {};
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error == ECONNREFUSED) return {Fd{}, Dial::refused};
+    if (error != 0) return {};
+  }
+  ::fcntl(fd.get(), F_SETFL, ::fcntl(fd.get(), F_GETFL) & ~O_NONBLOCK);
+  return {std::move(fd), Dial::up};
+}
+
+Fd listen_on(const Address& at) {
+  const auto target = resolve(at);
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  const int on = 1;
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!fd || !target || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0 ||
+      ::listen(fd.get(), 512) != 0)
+    throw std::runtime_error("cannot listen on " + to_text(at) + ": " + std::strerror(errno));
+  return fd;
+}
+
+Fd accept_one(const Fd& listener, Time deadline) {
+  if (!wait_for(listener.get(), POLLIN, deadline)) return Fd{};
+  Fd fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+  if (fd) no_delay(fd.get());
+  return fd;
+}
+
+bool write_all(const Fd& to, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(n));
+  }
+  return true;
+}
+
+Got Buffer::fill(const Fd& from, Time deadline) {
+  constexpr std::size_t kStep = 2048;
+  if (from_ == to_) from_ = to_ = 0;
+  if (data_.size() - to_ < kStep && from_ > 0) {
+    std::memmove(data_.data(), data_.data() + from_, to_ - from_);
+    to_ -= from_;
+    from_ = 0;
+  }
+  if (data_.size() - to_ < kStep) data_.resize(std::max(data_.size() * 2, kStep));
+  for (;;) {
+    if (deadline != kNever && !wait_for(from.get(), POLLIN, deadline)) return Got::late;
+    const ssize_t n = ::recv(from.get(), data_.data() + to_, data_.size() - to_, 0);
+    if (n < 0 && errno == EINTR) continue;
+    if (n <= 0) return Got::closed;
+    to_ += static_cast<std::size_t>(n);
+    return Got::data;
+  }
+}
+void Buffer::take(std::size_t n) { from_ += std::min(n, to_ - from_); }
+
+bool Outbox::push(std::string bytes, std::uint64_t tag, Check check) {
+  const std::lock_guard hold(lock_);
+  if (closed_ || finishing_ || queued_ + bytes.size() > kMostQueued) return false;
+  queued_ += bytes.size();
+  items_.push_back({std::move(bytes), tag, std::move(check)});
+  filled_.notify_one();
+  return true;
+}
+
+bool Outbox::withdraw(std::uint64_t tag) {
+  const std::lock_guard hold(lock_);
+  const auto found = std::find_if(items_.begin(), items_.end(), [tag](const Item& i) { return i.tag == tag; });
+  if (found == items_.end()) return false;
+  queued_ -= found->bytes.size();
+  items_.erase(found);
+  return true;
+}
+
+void Outbox::write_to(const Fd& fd) {
+  std::unique_lock hold(lock_);
+  for (;;) {
+    busy_ = false;
+    filled_.wait(hold, [this] { return closed_ || finishing_ || !items_.empty(); });
+    if (closed_ || items_.empty()) break;
+    const Item item = std::move(items_.front());
+    items_.pop_front();
+    queued_ -= item.bytes.size();
+    busy_ = true;
+    hold.unlock();
+    const bool written = (item.check && !item.check()) || write_all(fd, item.bytes);
+    hold.lock();
+    if (!written) break;
+  }
+  busy_ = false;
+  closed_ = true;
+  items_.clear();
+  queued_ = 0;
+  hold.unlock();
+  fd.shut();
+}
+
+void Outbox::finish() {
+  const std::lock_guard hold(lock_);
+  finishing_ = true;
+  filled_.notify_one();
+}
+void Outbox::abandon() {
+  const std::lock_guard hold(lock_);
+  closed_ = true;
+  filled_.notify_one();
+}
+bool Outbox::behind() const {
+  const std::lock_guard hold(lock_);
+  return busy_ || !items_.empty();
+}
+
+std::string hex16(std::uint64_t value) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+namespace {
+std::optional<std::uint64_t> parse_hex(std::string_view text, std::size_t digits) {
+  std::uint64_t out = 0;
+  if (text.size() != digits || text.find_first_not_of("0123456789abcdef") != std::string_view::npos)
+    return std::nullopt;
+  std::from_chars(text.data(), text.data() + text.size(), out, 16);
+  return out;
+}
+}  // namespace
+std::optional<std::uint64_t> parse_hex16(std::string_view text) { return parse_hex(text, 16); }
+std::string office_name(ServerId id) {
+  return "s-" + hex16(static_cast<std::uint32_t>(id)).substr(8);
+}
+std::optional<ServerId> parse_office_name(std::string_view text) {
+  if (text.substr(0, 2) != "s-") return std::nullopt;
+  const auto id = parse_hex(text.substr(2), 8);
+  return id ? std::optional(ServerId{static_cast<std::uint32_t>(*id)}) : std::nullopt;
+}
+void each_figure(std::string_view text, const std::function<void(std::string_view, double)>& take) {
+  while (!text.empty()) {
+    const std::string_view one = text.substr(0, text.find(';'));
+    text.remove_prefix(std::min(one.size() + 1, text.size()));
+    const std::size_t colon = one.find(':');
+    if (colon == std::string_view::npos) continue;
+    if (const auto figure = read_number(one.substr(colon + 1))) take(one.substr(0, colon), *figure);
+  }
+}
+void log_line(const std::string& text) {
+  const std::string line = std::to_string(now().time_since_epoch().count() / 1'000'000) + " " + text + "\n";
+  static_cast<void>(!::write(2, line.data(), line.size()));
+}
+
+}  // namespace thistleshunt::net
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,127 @@
+// Sockets, threads and buffers under every front.
+//
+// Owns: descriptors and threads (RAII), the Unix clock, the one input buffer of a connection, and its bounded
+//   queue of output with the writer that empties it.
+// Must never: know a message, decide anything, or take a span of time where an absolute deadline can be had.
+#pragma once
+
+#include <pthread.h>
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "thistleshunt/controller.h"
+
+namespace thistleshunt::net {
+
+Time now();  // the Unix clock
+inline constexpr Time kNever = Time::max();
+inline constexpr std::size_t kMostMessage = 16U * 1024U;
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept;
+  ~Fd() { reset(); }
+  [[nodiscard]] int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void reset();
+  void shut() const;  // both ways: wakes whoever reads or writes it
+
+ private:
+  int fd_ = -1;
+};
+
+// A thread with a small stack, joined at the end of its life.
+class Thread {
+ public:
+  Thread() = default;
+  explicit Thread(std::function<void()> body);
+  Thread(Thread&& other) noexcept;
+  Thread& operator=(Thread&& other) noexcept;
+  ~Thread() { join(); }
+  void join();
+
+ private:
+  pthread_t id_{};
+  bool running_ = false;
+};
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+std::optional<Address> parse_address(std::string_view text);  // host:port, IPv4
+std::string to_text(const Address& address);
+
+enum class Dial { up, refused, failed };
+struct Dialled {
+  Fd fd;
+  Dial how = Dial::failed;
+};
+Dialled dial(const Address& to, Time deadline);
+Fd listen_on(const Address& at);  // throws std::runtime_error
+bool write_all(const Fd& to, std::string_view bytes);  // blocks; false: the connection is over
+Fd accept_one(const Fd& listener, Time deadline);
+
+enum class Got { data, closed, late };
+// What a connection has received and not yet taken: grows as needed, compacted in place.
+class Buffer {
+ public:
+  Got fill(const Fd& from, Time deadline);
+  [[nodiscard]] std::string_view view() const { return {data_.data() + from_, to_ - from_}; }
+  void take(std::size_t n);
+  [[nodiscard]] bool full() const { return to_ - from_ > kMostMessage; }
+
+ private:
+  std::string data_;
+  std::size_t from_ = 0;
+  std::size_t to_ = 0;
+};
+
+// The queue of output of one connection. Filling it never blocks; its writer is the only one to block.
+class Outbox {
+ public:
+  // Asked as the message is about to leave; false: it is dropped unsent.
+  using Check = std::function<bool()>;
+  // False: closed, or the peer does not read and the queue is full; the connection should end then.
+  bool push(std::string bytes, std::uint64_t tag = 0, Check check = {});
+  bool withdraw(std::uint64_t tag);  // true: it had not begun to leave and never will
+  void write_to(const Fd& fd);       // the writer's whole life
+  void finish();                     // write what is queued, then end
+  void abandon();
+  [[nodiscard]] bool behind() const;  // something is still unwritten
+
+ private:
+  static constexpr std::size_t kMostQueued = 256U * 1024U;
+  struct Item {
+    std::string bytes;
+    std::uint64_t tag = 0;
+    Check check;
+  };
+  mutable std::mutex lock_;
+  std::condition_variable filled_;
+  std::deque<Item> items_;
+  std::size_t queued_ = 0;
+  bool busy_ = false;
+  bool finishing_ = false;
+  bool closed_ = false;
+};
+
+std::string hex16(std::uint64_t value);
+std::optional<std::uint64_t> parse_hex16(std::string_view text);  // 16 lower-case digits
+std::string office_name(ServerId id);                             // s-XXXXXXXX
+std::optional<ServerId> parse_office_name(std::string_view text);
+// "x0:12;x1:40" as name and figure, in order; what is malformed is left out.
+void each_figure(std::string_view text, const std::function<void(std::string_view, double)>& take);
+void log_line(const std::string& text);
+
+}  // namespace thistleshunt::net
--- /dev/null
+++ b/src/platform/bulletin.cpp
@@ -0,0 +1,105 @@
+#include "platform/bulletin.h"
+
+#include <stdexcept>
+
+namespace thistleshunt::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kRecord = 27;
+constexpr Duration kSilence = 2500ms;  // a frame comes each second; without one the connection is dead
+constexpr Duration kDialLimit = 500ms;
+constexpr Duration kAgain = 150ms;
+
+std::uint64_t number(std::string_view text, std::size_t at, std::size_t bytes) {
+  std::uint64_t out = 0;
+  for (std::size_t i = 0; i < bytes; ++i) out = out << 8U | static_cast<unsigned char>(text[at + i]);
+  return out;
+}
+
+core::OfficeEntry read_record(std::string_view r) {
+  core::OfficeEntry out;
+  out.entry.server = ServerId{static_cast<std::uint32_t>(number(r, 0, 4))};
+  for (std::size_t i = 4; i < 8; ++i) out.address += (i > 4 ? "." : "") + std::to_string(number(r, i, 1));
+  out.address += ":" + std::to_string(number(r, 8, 2));
+  const std::uint64_t state = number(r, 10, 1);
+  if (state > 2) throw std::runtime_error("a state that the protocol does not name");
+  out.entry.state = state == 0 ? ServerState::ready : state == 1 ? ServerState::draining : ServerState::gone;
+  out.entry.place = static_cast<std::uint32_t>(number(r, 13, 2));
+  out.entry.capacity = static_cast<double>(number(r, 15, 4)) / 1000.0;
+  out.entry.started_at = Time{std::chrono::milliseconds(number(r, 19, 8) & 0xffffffffffffULL)};
+  return out;
+}
+
+}  // namespace
+
+std::optional<Frame> parse_frame(std::string_view text, std::size_t& used) {
+  used = 0;
+  if (text.size() < 4) return std::nullopt;
+  const std::uint64_t length = number(text, 0, 4);
+  if (length < 9 || length > net::kMostMessage) throw std::runtime_error("a frame of " + std::to_string(length) + " bytes");
+  if (text.size() < 4 + length) return std::nullopt;
+  Frame out;
+  out.number = number(text, 4, 8);
+  out.kind = static_cast<int>(number(text, 12, 1));
+  const std::string_view payload = text.substr(13, length - 9);
+  if (out.kind > 2 || payload.size() % kRecord != 0 || (out.kind == 0 && !payload.empty()))
+    throw std::runtime_error("a malformed frame");
+  for (std::size_t at = 0; at < payload.size(); at += kRecord) out.offices.push_back(read_record(payload.substr(at, kRecord)));
+  used = 4 + length;
+  return out;
+}
+
+Bulletin::Bulletin(core::Core& core, net::Address at, std::uint64_t last)
+    : core_(core), at_(std::move(at)), last_(last), thread_([this] { run(); }) {}
+
+Bulletin::~Bulletin() {
+  {
+    const std::lock_guard hold(lock_);
+    stopping_ = true;
+    fd_.shut();
+    changed_.notify_all();
+  }
+  thread_.join();
+}
+
+void Bulletin::run() {
+  for (;;) {
+    net::Dialled dialled = net::dial(at_, net::now() + kDialLimit);
+    {
+      const std::lock_guard hold(lock_);
+      if (stopping_) return;
+      fd_ = std::move(dialled.fd);
+    }
+    if (dialled.how == net::Dial::up) follow(fd_);
+    std::unique_lock hold(lock_);
+    fd_.reset();
+    if (changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain, [this] { return stopping_; })) return;
+  }
+}
+
+void Bulletin::follow(const net::Fd& fd) {
+  std::string greeting;
+  for (int shift = 56; shift >= 0; shift -= 8) greeting += static_cast<char>(last_ >> static_cast<unsigned>(shift));
+  if (!net::write_all(fd, greeting)) return;
+  net::Buffer buffer;
+  try {
+    for (;;) {
+      std::size_t used = 0;
+      std::optional<Frame> frame = parse_frame(buffer.view(), used);
+      if (!frame) {
+        if (buffer.fill(fd, net::now() + kSilence) != net::Got::data) return;
+        continue;
+      }
+      buffer.take(used);
+      if (frame->kind == 0) continue;
+      last_ = std::max(last_, frame->number);
+      core_.told(frame->kind == 1, std::move(frame->offices));
+    }
+  } catch (const std::runtime_error& error) {
+    net::log_line(std::string("bulletin: ") + error.what() + "; connecting anew");
+  }
+}
+
+}  // namespace thistleshunt::platform
--- /dev/null
+++ b/src/platform/bulletin.h
@@ -0,0 +1,39 @@
+// The bulletin: the platform's list of offices, as frames over TCP.
+//
+// Owns: the subscription, resumed after the last event that was taken.
+// Must never: skip an event, or wait for ever on a connection that has gone silent.
+#pragma once
+
+#include <atomic>
+
+#include "core/core.h"
+
+namespace thistleshunt::platform {
+
+struct Frame {
+  std::uint64_t number = 0;
+  int kind = 0;  // 0 nothing new, 1 the whole list, 2 changes
+  std::vector<core::OfficeEntry> offices;
+};
+// Takes one frame off the front; nothing: more bytes are needed. Throws std::runtime_error if malformed.
+std::optional<Frame> parse_frame(std::string_view text, std::size_t& used);
+
+class Bulletin {
+ public:
+  Bulletin(core::Core& core, net::Address at, std::uint64_t last);
+  ~Bulletin();
+
+ private:
+  void run();
+  void follow(const net::Fd& fd);
+  core::Core& core_;
+  const net::Address at_;
+  std::uint64_t last_;
+  std::mutex lock_;
+  std::condition_variable changed_;
+  bool stopping_ = false;
+  net::Fd fd_;
+  net::Thread thread_;
+};
+
+}  // namespace thistleshunt::platform
--- /dev/null
+++ b/src/platform/offices.cpp
@@ -0,0 +1,331 @@
+#include "platform/offices.h"
+
+#include <algorithm>
+#include <list>
+
+#include "net/json.h"
+
+namespace thistleshunt::platform {
+
+using core::OfficeEntry;
+using core::SetUp;
+using net::Json;
+
+LoadReport read_report(std::string_view text) {
+  LoadReport out;
+  net::each_figure(text, [&out](std::string_view name, double value) {
+    if (name == "x0" || name == "free") out.free_lines = value;
+    if (name == "x1" || name == "size") out.lines = value;
+    if (name == "latency_ms" || name == "recent_ms") out.wait_ms = value;
+    if (name == "eps" || name == "hold_back") out.hold_back = value;
+  });
+  return out;
+}
+
+namespace {
+
+std::string finish_line(CallId call) {
+  return R"({"verb":"FINISH","tag":")" + net::hex16(static_cast<std::uint64_t>(call)) +
+         "\",\"opts\":{},\"rc\":" + std::to_string(core::kNormalClearing) + "}\n";
+}
+
+}  // namespace
+
+// One office: a thread that dials and reads, and for each connection a writer.
+class OfficeLink {
+ public:
+  OfficeLink(core::Core& core, ServerId id, Duration dial_limit) : core_(core), id_(id), dial_limit_(dial_limit) {}
+  ~OfficeLink() { stop(); }
+
+  void begin() {
+    thread_ = net::Thread([this] { run(); });
+  }
+  void stop() {
+    {
+      const std::lock_guard hold(lock_);
+      stopping_ = true;
+      if (outbox_) outbox_->abandon();
+      fd_.shut();
+      changed_.notify_all();
+    }
+    thread_.join();
+  }
+
+  void listed(const OfficeEntry& office) {
+    const std::lock_guard hold(lock_);
+    const auto address = net::parse_address(office.address);
+    const bool restarted = office.entry.started_at > started_at_ && started_at_ != Time::min();
+    started_at_ = office.entry.started_at;
+    ready_ = office.entry.state == ServerState::ready;
+    gone_ = office.entry.state == ServerState::gone;
+    // Guards against speaking to a dead process, or to one that has taken over the address.
+    if (gone_ || restarted || (address && net::to_text(*address) != net::to_text(address_))) fd_.shut();
+    if (address) address_ = *address;
+    retry_at_ = {};
+    changed_.notify_all();
+  }
+
+  void start(const SetUp& set_up, std::string line) {
+    const std::lock_guard hold(lock_);
+    const std::uint64_t tag = ++tags_;
+    open_[set_up.call] = {set_up.attempt, tag, set_up.give_up, false, std::move(line)};
+    if (outbox_) {
+      queue(set_up.call, open_[set_up.call]);
+    } else {
+      changed_.notify_all();  // dial for it, at once
+    }
+  }
+
+  void give_up(CallId call, std::uint32_t attempt) {
+    const std::lock_guard hold(lock_);
+    const auto found = open_.find(call);
+    if (found == open_.end() || found->second.attempt != attempt) return;
+    const Open open = found->second;
+    open_.erase(found);
+    if (!outbox_) return;
+    if (outbox_->withdraw(open.tag)) return;
+    // A peer that does not read would get this too late: closing gives up what is open there at once.
+    if (outbox_->behind() || !outbox_->push(finish_line(call))) fd_.shut();
+  }
+
+  void release(CallId call) {
+    const std::lock_guard hold(lock_);
+    if (!outbox_ || !outbox_->push(finish_line(call))) owed_.push_back(finish_line(call));
+    changed_.notify_all();
+  }
+
+  void keep(bool calls_stand) {
+    const std::lock_guard hold(lock_);
+    calls_stand_ = calls_stand;
+    changed_.notify_all();
+  }
+
+ private:
+  struct Open {
+    std::uint32_t attempt = 0;
+    std::uint64_t tag = 0;
+    Time give_up{};
+    bool left = false;
+    std::string line;
+  };
+
+  // With the lock held.
+  void queue(CallId call, Open& open) {
+    const std::uint32_t attempt = open.attempt;
+    const bool queued = outbox_->push(std::move(open.line), open.tag, [this, call, attempt] { return may_leave(call, attempt); });
+    if (!queued) fd_.shut();  // the reader reports what was open
+  }
+
+  // The first byte counts for drains, so all is checked again as the set-up leaves the queue.
+  bool may_leave(CallId call, std::uint32_t attempt) {
+    {
+      const std::lock_guard hold(lock_);
+      const auto found = open_.find(call);
+      if (found == open_.end() || found->second.attempt != attempt) return false;
+      if (ready_ && net::now() < found->second.give_up) return found->second.left = true;
+      open_.erase(found);
+    }
+    core_.send_failed(call, attempt, Ending::not_sent);
+    return false;
+  }
+
+  void run() {
+    for (;;) {
+      net::Address to;
+      {
+        std::unique_lock hold(lock_);
+        const auto wanted = [this] {
+          if (stopping_ || !open_.empty()) return true;
+          return !gone_ && (ready_ || calls_stand_ || !owed_.empty()) && net::now() >= retry_at_;
+        };
+        while (!wanted()) {
+          const auto at = std::chrono::time_point<std::chrono::system_clock, Duration>(retry_at_.time_since_epoch());
+          if (net::now() < retry_at_) {
+            changed_.wait_until(hold, at);
+          } else {
+            changed_.wait(hold);
+          }
+        }
+        if (stopping_) return;
+        to = address_;
+      }
+      net::Dialled dialled = net::dial(to, net::now() + dial_limit_);
+      if (dialled.how == net::Dial::up) {
+        serve(std::move(dialled.fd));
+        continue;
+      }
+      failed(dialled.how);
+    }
+  }
+
+  void failed(net::Dial how) {
+    std::map<CallId, Open> lost;
+    bool died = false;
+    {
+      const std::lock_guard hold(lock_);
+      lost.swap(open_);
+      // A refused connection after one that stood: the process has died, and its calls with it.
+      died = how == net::Dial::refused && was_up_;
+      if (died) was_up_ = false;
+      retry_at_ = net::now() + std::chrono::milliseconds(250);
+    }
+    if (died) {
+      net::log_line("office " + net::office_name(id_) + " refuses connections: its calls are cut");
+      core_.office_died(id_);
+    }
+    for (const auto& [call, open] : lost) core_.send_failed(call, open.attempt, Ending::connect_failed);
+  }
+
+  void serve(net::Fd fd) {
+    net::Outbox outbox;
+    {
+      const std::lock_guard hold(lock_);
+      if (stopping_) return;
+      fd_ = std::move(fd);
+      outbox_ = &outbox;
+      was_up_ = true;
+      for (std::string& line : owed_) outbox.push(std::move(line));
+      owed_.clear();
+      for (auto& [call, open] : open_) queue(call, open);
+    }
+    {
+      const net::Thread writer([this, &outbox] { outbox.write_to(fd_); });
+      read_lines();
+      outbox.abandon();
+      fd_.shut();
+    }
+    std::map<CallId, Open> lost;
+    {
+      const std::lock_guard hold(lock_);
+      outbox_ = nullptr;
+      fd_.reset();
+      lost.swap(open_);
+      retry_at_ = net::now() + std::chrono::milliseconds(20);
+    }
+    for (const auto& [call, open] : lost)
+      core_.send_failed(call, open.attempt, open.left ? Ending::reset : Ending::not_sent);
+  }
+
+  void read_lines() {
+    net::Buffer buffer;
+    for (;;) {
+      const std::string_view held = buffer.view();
+      const std::size_t end = held.find('\n');
+      if (end == std::string_view::npos) {
+        if (buffer.full() || buffer.fill(fd_, net::kNever) != net::Got::data) return;
+        continue;
+      }
+      try {
+        read_line(Json::parse(held.substr(0, end)));
+      } catch (const net::JsonError& error) {
+        net::log_line("office " + net::office_name(id_) + " closed: " + error.what());
+        return;
+      }
+      buffer.take(end + 1);
+    }
+  }
+
+  void read_line(const Json& line) {
+    const auto text = [&line](const char* key) {
+      const Json* field = line.find(key);
+      const std::string* s = field == nullptr ? nullptr : field->string();
+      return s == nullptr ? std::string() : *s;
+    };
+    const std::string verb = text("verb");
+    const auto tag = net::parse_hex16(text("tag"));
+    const Json* opts = line.find("opts");
+    const auto opt = [opts](const char* key) {
+      const Json* field = opts == nullptr ? nullptr : opts->find(key);
+      return field == nullptr ? std::string() : field->plain().value_or("");
+    };
+    const LoadReport report = read_report(opt("load"));
+    if (verb == "LOAD") return core_.reported(id_, report);
+    if (!tag) return;
+    const CallId call{*tag};
+    if (verb == "STARTED") {
+      over(call);
+      if (report.free_lines >= 0.0) core_.reported(id_, report);
+      core_.answered(id_, call, text("blob"));
+    } else if (verb == "FINISH") {
+      over(call);
+      const Json* rc = line.find("rc");
+      const auto cause = rc == nullptr ? std::nullopt : rc->numeric();
+      core_.ended({id_, call, cause ? static_cast<int>(std::clamp(*cause, 0.0, 127.0)) : 0, opt("note"), report});
+    }
+  }
+
+  void over(CallId call) {
+    const std::lock_guard hold(lock_);
+    open_.erase(call);
+  }
+
+  core::Core& core_;
+  const ServerId id_;
+  const Duration dial_limit_;
+  std::mutex lock_;
+  std::condition_variable changed_;
+  net::Address address_;
+  Time started_at_ = Time::min();
+  Time retry_at_{};
+  bool ready_ = false;
+  bool gone_ = false;
+  bool stopping_ = false;
+  bool calls_stand_ = false;
+  bool was_up_ = false;
+  std::uint64_t tags_ = 0;
+  std::map<CallId, Open> open_;
+  std::vector<std::string> owed_;  // releases for the next connection
+  net::Fd fd_;
+  net::Outbox* outbox_ = nullptr;
+  net::Thread thread_;
+};
+
+Offices::Offices(core::Core& core, std::vector<std::string> class_names, Duration dial_limit)
+    : core_(core), class_names_(std::move(class_names)), dial_limit_(dial_limit) {}
+Offices::~Offices() = default;
+
+std::shared_ptr<OfficeLink> Offices::link(ServerId office) {
+  const std::lock_guard hold(lock_);
+  const auto found = links_.find(office);
+  return found == links_.end() ? nullptr : found->second;
+}
+
+void Offices::listed(bool complete, const std::vector<OfficeEntry>& offices) {
+  const std::lock_guard hold(lock_);
+  for (const OfficeEntry& office : offices) {
+    auto& link = links_[office.entry.server];
+    const bool fresh = !link;
+    if (fresh) link = std::make_shared<OfficeLink>(core_, office.entry.server, dial_limit_);
+    link->listed(office);
+    if (fresh) link->begin();
+  }
+  if (!complete) return;
+  for (auto& [id, link] : links_) {
+    const bool kept = std::any_of(offices.begin(), offices.end(),
+                                  [id = id](const OfficeEntry& o) { return o.entry.server == id; });
+    if (!kept) link->listed({{.server = id, .state = ServerState::gone}, ""});
+  }
+}
+
+void Offices::start(const SetUp& set_up) {
+  const auto to = link(set_up.office);
+  if (!to) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - net::now()).count();
+  const std::string name = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
+  to->start(set_up, R"({"verb":"START","tag":")" + net::hex16(static_cast<std::uint64_t>(set_up.call)) +
+                        R"(","opts":{"class":)" + net::quoted(name) + R"(,"key":")" +
+                        net::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left":")" +
+                        std::to_string(std::max<std::int64_t>(left, 1)) + R"("},"blob":)" +
+                        net::quoted(set_up.description) + "}\n");
+}
+void Offices::give_up(ServerId office, CallId call, std::uint32_t attempt) {
+  if (const auto to = link(office)) to->give_up(call, attempt);
+}
+void Offices::release(ServerId office, CallId call) {
+  if (const auto to = link(office)) to->release(call);
+}
+void Offices::keep(ServerId office, bool calls_stand) {
+  if (const auto to = link(office)) to->keep(calls_stand);
+}
+
+}  // namespace thistleshunt::platform
--- /dev/null
+++ b/src/platform/offices.h
@@ -0,0 +1,39 @@
+// The offices of the platform: one link an office, speaking JSON lines.
+//
+// Owns: the links, their connections and what of ours is open on them; the last check before a set-up leaves.
+// Must never: choose an office, test one (ECHO), or keep a set-up that the core has given up.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "core/core.h"
+
+namespace thistleshunt::platform {
+
+LoadReport read_report(std::string_view text);  // "x0:12;x1:40"
+
+class OfficeLink;
+
+class Offices final : public core::OfficeSide {
+ public:
+  Offices(core::Core& core, std::vector<std::string> class_names, Duration dial_limit);
+  ~Offices() override;
+
+  void listed(bool complete, const std::vector<core::OfficeEntry>& offices) override;
+  void start(const core::SetUp& set_up) override;
+  void give_up(ServerId office, CallId call, std::uint32_t attempt) override;
+  void release(ServerId office, CallId call) override;
+  void keep(ServerId office, bool calls_stand) override;
+
+ private:
+  std::shared_ptr<OfficeLink> link(ServerId office);
+  core::Core& core_;
+  std::vector<std::string> class_names_;
+  Duration dial_limit_;
+  std::mutex lock_;
+  std::map<ServerId, std::shared_ptr<OfficeLink>> links_;
+};
+
+}  // namespace thistleshunt::platform
--- /dev/null
+++ b/src/platform/sip.cpp
@@ -0,0 +1,381 @@
+#include "platform/sip.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "net/json.h"
+
+namespace thistleshunt::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A connection without an open set-up is closed after so long; callers close theirs after 4 s.
+constexpr Duration kIdle = 12s;
+
+bool same_name(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+std::string_view trimmed(std::string_view text) {
+  const std::size_t from = text.find_first_not_of(" \t");
+  if (from == std::string_view::npos) return {};
+  return text.substr(from, text.find_last_not_of(" \t") - from + 1);
+}
+std::optional<std::int64_t> whole_number(std::string_view text) {
+  std::int64_t out = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return out;
+}
+std::string answer(int status, const char* reason, const std::string& echoed, const std::string& more = "",
+                   const std::string& body = "") {
+  return "SIP/2.0 " + std::to_string(status) + " " + reason + "\r\n" + echoed + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool first_line(std::string_view line, SipMessage& out) {
+  const std::size_t one = line.find(' ');
+  const std::size_t two = one == std::string_view::npos ? one : line.find(' ', one + 1);
+  if (two == std::string_view::npos) return false;
+  const std::string_view a = line.substr(0, one);
+  const std::string_view b = line.substr(one + 1, two - one - 1);
+  if (a == "SIP/2.0") {
+    const auto status = whole_number(b);
+    if (!status || *status < 100 || *status > 699) return false;
+    out.status = static_cast<int>(*status);
+    return true;
+  }
+  if (a.empty() || b.empty() || line.substr(two + 1) != "SIP/2.0") return false;
+  out.method = a;
+  out.uri = b;
+  return a.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZ") == std::string_view::npos;
+}
+
+}  // namespace
+
+const std::string* SipMessage::header(std::string_view name) const {
+  for (const auto& [n, value] : headers) {
+    if (same_name(n, name)) return &value;
+  }
+  return nullptr;
+}
+std::string SipMessage::echoed() const {
+  std::string out;
+  for (const auto& [name, value] : headers) {
+    for (const char* kept : {"Via", "From", "To", "Call-ID", "CSeq"}) {
+      if (same_name(name, kept)) out.append(name).append(": ").append(value).append("\r\n");
+    }
+  }
+  return out;
+}
+
+Parsed parse_sip(std::string_view text, SipMessage& out, std::size_t& used) {
+  out = {};
+  used = 0;
+  std::size_t start = 0;
+  while (text.substr(start, 2) == "\r\n") start += 2;  // RFC 3261, 7.5: blank lines before a message
+  if (start > 0 && start == text.size()) return used = start, Parsed::more;
+  const std::size_t end = text.find("\r\n\r\n", start);
+  if (end == std::string_view::npos) return text.size() - start > net::kMostMessage ? Parsed::malformed : Parsed::more;
+  std::string_view head = text.substr(start, end - start);
+  std::size_t length = 0;
+  bool first = true;
+  bool has_length = false;
+  while (!head.empty()) {
+    const std::string_view line = head.substr(0, head.find("\r\n"));
+    head.remove_prefix(std::min(line.size() + 2, head.size()));
+    if (first) {
+      if (!first_line(line, out)) return Parsed::malformed;
+      first = false;
+      continue;
+    }
+    const std::size_t colon = line.find(':');
+    const std::string_view name = trimmed(line.substr(0, std::min(colon, line.size())));
+    if (colon == std::string_view::npos || name.empty() || line.find('\n') != std::string_view::npos) return Parsed::malformed;
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (same_name(name, "Content-Length") || same_name(name, "l")) {
+      const auto n = whole_number(value);
+      if (!n || *n < 0 || *n > static_cast<std::int64_t>(net::kMostMessage) ||
+          (has_length && static_cast<std::size_t>(*n) != length))
+        return Parsed::malformed;
+      length = static_cast<std::size_t>(*n);
+      has_length = true;
+    }
+    out.headers.emplace_back(name, value);
+  }
+  // Over a stream nothing else tells where the message ends.
+  if (!has_length || end + 4 + length - start > net::kMostMessage) return Parsed::malformed;
+  if (text.size() < end + 4 + length) return Parsed::more;
+  out.body = text.substr(end + 4, length);
+  used = end + 4 + length;
+  return Parsed::whole;
+}
+
+// A caller's connection: a thread that reads, one that writes.
+class SipConnection : public std::enable_shared_from_this<SipConnection> {
+ public:
+  SipConnection(SipFront& front, net::Fd fd) : front_(front), fd_(std::move(fd)) {}
+  ~SipConnection() { join(); }
+  void begin() {
+    writer_ = net::Thread([this] { outbox_.write_to(fd_); });
+    reader_ = net::Thread([this] { read(); });
+  }
+  bool push(std::string bytes) {
+    if (outbox_.push(std::move(bytes))) return true;
+    outbox_.abandon();
+    fd_.shut();
+    return false;
+  }
+  void finish() { outbox_.finish(); }
+  void join() {
+    reader_.join();
+    writer_.join();
+  }
+  [[nodiscard]] bool over() const { return over_; }
+  // Of the set-ups that came here and have no final answer yet.
+  void opened(CallId call) {
+    const std::lock_guard hold(lock_);
+    open_.insert(call);
+  }
+  void closed(CallId call) {
+    const std::lock_guard hold(lock_);
+    open_.erase(call);
+  }
+  [[nodiscard]] bool idle() const {
+    const std::lock_guard hold(lock_);
+    return open_.empty();
+  }
+
+ private:
+  void read() {
+    const auto self = shared_from_this();
+    net::Buffer buffer;
+    for (;;) {
+      SipMessage message;
+      std::size_t used = 0;
+      const Parsed parsed = parse_sip(buffer.view(), message, used);
+      buffer.take(used);
+      if (parsed == Parsed::malformed) {
+        push("SIP/2.0 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+        break;
+      }
+      if (parsed == Parsed::whole) {
+        if (front_.take(self, message)) continue;
+        push(answer(400, "Bad Request", message.echoed()));
+        break;
+      }
+      const net::Got got = buffer.fill(fd_, net::now() + kIdle);
+      if (got == net::Got::closed || (got == net::Got::late && idle())) break;
+    }
+    outbox_.finish();
+    std::set<CallId> open;
+    {
+      const std::lock_guard hold(lock_);
+      open.swap(open_);
+    }
+    for (const CallId call : open) front_.core_.give_up(call);  // nobody is left to answer
+    over_ = true;
+  }
+
+  SipFront& front_;
+  net::Fd fd_;
+  net::Outbox outbox_;
+  mutable std::mutex lock_;
+  std::set<CallId> open_;
+  std::atomic<bool> over_{false};
+  net::Thread writer_;
+  net::Thread reader_;
+};
+
+SipFront::SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections)
+    : core_(core), class_names_(std::move(class_names)), most_connections_(most_connections) {}
+SipFront::~SipFront() { close_all(); }
+
+void SipFront::open(const net::Address& at) {
+  listener_ = net::listen_on(at);
+  accepting_ = true;
+  thread_ = net::Thread([this] { accept_loop(); });
+}
+void SipFront::stop_accepting() {
+  accepting_ = false;
+  thread_.join();
+  listener_.reset();
+}
+void SipFront::close_all() {
+  stop_accepting();
+  std::list<std::shared_ptr<SipConnection>> all;
+  {
+    const std::lock_guard hold(lock_);
+    all.swap(connections_);
+  }
+  for (const auto& c : all) c->finish();
+  for (const auto& c : all) c->join();
+}
+
+void SipFront::accept_loop() {
+  while (accepting_) {
+    net::Fd fd = net::accept_one(listener_, net::now() + 50ms);
+    reap();
+    if (!fd) continue;
+    auto connection = std::make_shared<SipConnection>(*this, std::move(fd));
+    try {
+      connection->begin();
+    } catch (const std::runtime_error& error) {  // out of threads: this caller must try elsewhere
+      net::log_line(error.what());
+      connection->finish();
+      continue;
+    }
+    joined(connection);
+  }
+}
+
+// Ends what is over. At the limit, the oldest connections that carry no set-up make room.
+void SipFront::reap() {
+  std::list<std::shared_ptr<SipConnection>> over;
+  {
+    const std::lock_guard hold(lock_);
+    std::size_t excess = connections_.size() > most_connections_ ? connections_.size() - most_connections_ : 0;
+    for (auto at = connections_.begin(); at != connections_.end();) {
+      const auto next = std::next(at);
+      if ((*at)->over()) {
+        over.splice(over.end(), connections_, at);
+      } else if (excess > 0 && (*at)->idle()) {
+        (*at)->finish();
+        --excess;
+      }
+      at = next;
+    }
+  }
+  for (const auto& c : over) c->join();
+}
+
+void SipFront::joined(const std::shared_ptr<SipConnection>& connection) {
+  const std::lock_guard hold(lock_);
+  connections_.push_back(connection);
+  for (std::string& line : owed_) connection->push(std::move(line));
+  owed_.clear();
+}
+
+bool SipFront::take(const std::shared_ptr<SipConnection>& from, const SipMessage& message) {
+  if (message.method.empty() || message.method == "ACK") return true;  // heard, nothing to do
+  if (message.method == "OPTIONS") {
+    return core_.ready() ? from->push(answer(200, "OK", message.echoed()))
+                         : from->push(answer(503, "Service Unavailable", message.echoed()));
+  }
+  const std::string* id = message.header("Call-ID");
+  const auto call = id == nullptr ? std::nullopt : net::parse_hex16(*id);
+  if (!call || message.header("CSeq") == nullptr) return false;
+  if (message.method == "INVITE") return take_invite(from, message, CallId{*call}), true;
+  if (message.method == "CANCEL") {
+    from->push(answer(200, "OK", message.echoed()));
+    core_.give_up(CallId{*call});
+    return true;
+  }
+  if (message.method == "BYE") {
+    from->push(answer(200, "OK", message.echoed()));
+    core_.release(CallId{*call});
+    return true;
+  }
+  return from->push(answer(501, "Not Implemented", message.echoed()));
+}
+
+void SipFront::take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call) {
+  core::Request request;
+  CallArrived& told = request.told;
+  told.call = call;
+  const std::size_t at = message.uri.find('@');
+  const auto number = message.uri.rfind("sip:", 0) == 0 && at != std::string::npos
+                          ? net::parse_hex16(std::string_view(message.uri).substr(4, at - 4))
+                          : std::nullopt;
+  const std::string* patience = message.header("X-Patience");
+  const auto ms = patience == nullptr ? std::nullopt : whole_number(*patience);
+  if (!number || !ms || *ms < 0 || *ms > 3'600'000) {
+    from->push(answer(400, "Bad Request", message.echoed()));
+    return;
+  }
+  told.number = NumberCalled{*number};
+  told.caller_leaves = net::now() + std::chrono::milliseconds(*ms);
+  const std::string* subject = message.header("Subject");
+  const auto name = std::find(class_names_.begin(), class_names_.end(), subject == nullptr ? "" : *subject);
+  request.class_known = name != class_names_.end();
+  told.call_class = static_cast<std::uint32_t>(name - class_names_.begin());
+  if (const std::string* facts = message.header("X-Facts")) {
+    net::each_figure(*facts, [&told](std::string_view fact, double value) {
+      if (fact == "dest" && value >= 0.0 && value < 1.0e6) told.destination = static_cast<std::uint32_t>(value);
+      if (fact == "again") told.cut_before = value != 0.0;
+    });
+  }
+  request.description = message.body;
+  request.side = this;
+  {
+    const std::lock_guard hold(lock_);
+    const auto [place, fresh] = dialogues_.try_emplace(call, Dialogue{from, message.echoed(), message.uri});
+    if (!fresh) {
+      // The same set-up once more: it crossed a close of ours, and its answer is owed here now.
+      if (place->second.answered || place->second.connection.lock() == from) return;
+      place->second.connection = from;
+      place->second.echoed = message.echoed();
+      from->opened(call);
+      return;
+    }
+  }
+  from->opened(call);
+  core_.request(std::move(request));
+}
+
+bool SipFront::stands(CallId call, const std::string& description) {
+  const std::lock_guard hold(lock_);
+  const auto found = dialogues_.find(call);
+  if (found == dialogues_.end()) return false;
+  Dialogue& d = found->second;
+  d.answered = true;
+  const auto connection = d.connection.lock();
+  if (connection) connection->closed(call);
+  if (connection && connection->push(answer(200, "OK", d.echoed, "", description))) return true;
+  dialogues_.erase(found);
+  return false;
+}
+
+void SipFront::refused(CallId call, core::Why why, Duration later) {
+  const std::lock_guard hold(lock_);
+  const auto found = dialogues_.find(call);
+  if (found == dialogues_.end()) return;
+  const Dialogue d = std::move(found->second);
+  dialogues_.erase(found);
+  const auto connection = d.connection.lock();
+  if (!connection) return;
+  connection->closed(call);
+  std::string advice;
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(later).count();
+  if (ms > 0) advice = "X-Later-Ms: " + std::to_string(ms) + "\r\n";
+  static constexpr struct {
+    int status;
+    const char* reason;
+  } kAnswers[] = {{500, "Server Internal Error"}, {503, "Service Unavailable"}, {500, "Server Internal Error"},
+                  {408, "Request Timeout"},       {482, "Loop Detected"},       {488, "Not Acceptable Here"},
+                  {487, "Request Terminated"}};
+  const auto& a = kAnswers[static_cast<std::size_t>(why)];
+  connection->push(answer(a.status, a.reason, d.echoed, advice));
+}
+
+void SipFront::released(CallId call, int cause) {
+  const std::lock_guard hold(lock_);
+  const auto found = dialogues_.find(call);
+  if (found == dialogues_.end()) return;
+  const Dialogue d = std::move(found->second);
+  dialogues_.erase(found);
+  const std::string id = net::hex16(static_cast<std::uint64_t>(call));
+  std::string bye = "BYE " + d.uri + " SIP/2.0\r\nVia: SIP/2.0/TCP controller\r\nCall-ID: " + id +
+                    "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n";
+  const auto own = d.connection.lock();
+  if (own && !own->over() && own->push(bye)) return;
+  // No connection owns a standing call: any open one will do, or else the next.
+  for (const auto& connection : connections_) {
+    if (!connection->over() && connection->push(bye)) return;
+  }
+  owed_.push_back(std::move(bye));
+}
+
+}  // namespace thistleshunt::platform
--- /dev/null
+++ b/src/platform/sip.h
@@ -0,0 +1,69 @@
+// The platform's front for callers: SIP over TCP.
+//
+// Owns: the listener, the callers' connections and the dialogue data that an answer needs.
+// Must never: decide on a call, answer one twice, or close a connection on which a set-up is open.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "core/core.h"
+
+namespace thistleshunt::platform {
+
+struct SipMessage {
+  std::string method;  // or empty: an answer
+  std::string uri;
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  [[nodiscard]] const std::string* header(std::string_view name) const;  // names in any case
+  [[nodiscard]] std::string echoed() const;  // the headers that an answer carries back
+};
+enum class Parsed { whole, more, malformed };
+// Takes one message off the buffer's view; `used` tells its length.
+Parsed parse_sip(std::string_view text, SipMessage& out, std::size_t& used);
+
+class SipConnection;
+
+class SipFront final : public core::CallerSide {
+ public:
+  SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
+  ~SipFront() override;
+  void open(const net::Address& at);  // throws std::runtime_error
+  void stop_accepting();
+  void close_all();  // writes what is queued, then ends every connection
+
+  bool stands(CallId call, const std::string& description) override;
+  void refused(CallId call, core::Why why, Duration later) override;
+  void released(CallId call, int cause) override;
+
+ private:
+  friend class SipConnection;
+  struct Dialogue {
+    std::weak_ptr<SipConnection> connection;
+    std::string echoed;
+    std::string uri;
+    bool answered = false;
+  };
+  void accept_loop();
+  void reap();
+  void joined(const std::shared_ptr<SipConnection>& connection);
+  bool take(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
+  void take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
+
+  core::Core& core_;
+  const std::vector<std::string> class_names_;
+  const std::size_t most_connections_;
+  net::Fd listener_;
+  std::atomic<bool> accepting_{false};
+  std::mutex lock_;  // guards the tables below
+  std::unordered_map<CallId, Dialogue> dialogues_;
+  std::list<std::shared_ptr<SipConnection>> connections_;
+  std::vector<std::string> owed_;  // releases for the next connection
+  net::Thread thread_;
+};
+
+}  // namespace thistleshunt::platform
