--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -21,7 +21,9 @@
   [[noreturn]] void fail(const std::string& key, const std::string& what) const {
     throw ConfigError(path_ + (key.empty() ? "" : "." + key) + ": " + what);
   }
-  [[nodiscard]] const Json* find(const std::string& key) const { return json_ == nullptr ? nullptr : json_->find(key); }
+  [[nodiscard]] const Json* find(const std::string& key) const {
+    return json_ == nullptr ? nullptr : json_->find(key);
+  }
   [[nodiscard]] Section at(const std::string& key) const {
     const Json* found = find(key);
     if (found != nullptr && found->object() == nullptr) fail(key, "must be an object");
@@ -34,7 +36,8 @@
     if (found->string() == nullptr) fail(key, "must be a string");
     return *found->string();
   }
-  [[nodiscard]] double number(const std::string& key, double least, double most, std::optional<double> fallback = {}) const {
+  [[nodiscard]] double number(const std::string& key, double least, double most,
+                              std::optional<double> fallback = {}) const {
     const Json* found = find(key);
     if (found == nullptr) return fallback ? *fallback : (fail(key, "is missing"), 0.0);
     const auto value = found->number();
@@ -170,7 +173,8 @@
   out.listen = top.address("listen");
   out.bulletin = top.address("bulletin");
   const std::string seed = top.text("seed", "0000000000000001");
-  if (seed.empty() || seed.size() > 16 || seed.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+  if (seed.empty() || seed.size() > 16 ||
+      seed.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
     top.fail("seed", "must be up to 16 hex digits, not '" + seed + "'");
   out.seed = std::strtoull(seed.c_str(), nullptr, 16);
   const Section limits = top.at("limits");
@@ -196,7 +200,8 @@
       one.fail("Name", "names a class twice");
   }
   const Section limits_of_policy = top.at("settings").at("PolicyLimits");
-  out.dial_limit = Duration{static_cast<std::int64_t>(limits_of_policy.number("DialTimeoutNs", 1.0e6, 6.0e10, 5.0e8))};
+  out.dial_limit =
+      Duration{static_cast<std::int64_t>(limits_of_policy.number("DialTimeoutNs", 1.0e6, 6.0e10, 5.0e8))};
   return out;
 }
 
@@ -231,7 +236,9 @@
   if (const char* name = std::getenv("PROXY_NAME")) out.name = name;
   if (const char* listen = std::getenv("PROXY_LISTEN")) {
     out.listen = net::parse_address(listen);
-    if (!out.listen) throw ConfigError("PROXY_LISTEN: must be an address as 127.0.0.1:2905, not '" + std::string(listen) + "'");
+    if (!out.listen)
+      throw ConfigError("PROXY_LISTEN: must be an address as 127.0.0.1:2905, not '" + std::string(listen) +
+                        "'");
   }
   return out;
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -4,7 +4,8 @@
 //   answer a call, one attempt out at a time, a given-up attempt told to its office before the module hears).
 // Must never: know a wire, a socket or JSON; block on a peer; let any thread but its own touch the table.
 //
-// A request's stages, a unit each: take_in (inbox, batch, clock), admit, route (the module), send, relay, book.
+// A request's stages, a unit each: take_in (inbox, batch, clock), admit, route (the module), send, relay,
+// book.
 #pragma once
 
 #include <atomic>
@@ -24,7 +25,7 @@
 
 namespace thistleshunt::core {
 
-inline constexpr int kNormalClearing = 16;   // Q.850: given up, or over
+inline constexpr int kNormalClearing = 16;    // Q.850: given up, or over
 inline constexpr int kTemporaryFailure = 41;  // Q.850: cut
 
 // Why a request failed; the fronts have names of their own for these.
@@ -101,8 +102,8 @@
 
   // For fronts, from any thread.
   void request(Request request);
-  void give_up(CallId call);  // the caller waits no longer
-  void release(CallId call);  // the caller ends a call that stands
+  void give_up(CallId call);                                         // the caller waits no longer
+  void release(CallId call);                                         // the caller ends a call that stands
   void ask(CallId call, std::function<void(const Status&)> answer);  // answered on the core's thread
 
   // For the offices' side, from any thread.
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -21,7 +21,8 @@
   if (const auto* wanted = std::get_if<SendSetUp>(&action)) return send(*wanted);
   if (const auto* refusal = std::get_if<Refuse>(&action)) {
     Record* r = find(refusal->call);
-    if (r != nullptr && r->phase == Phase::open) finish(*r, Phase::refused, Why::refused, refusal->retry_after);
+    if (r != nullptr && r->phase == Phase::open)
+      finish(*r, Phase::refused, Why::refused, refusal->retry_after);
   } else if (const auto* failure = std::get_if<Fail>(&action)) {
     Record* r = find(failure->call);
     if (r == nullptr || r->phase != Phase::open) return;
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -47,7 +47,9 @@
   });
 }
 void Core::answered(ServerId office, CallId call, std::string description) {
-  post([this, office, call, d = std::move(description)]() mutable { relay_answer(office, call, std::move(d)); });
+  post([this, office, call, d = std::move(description)]() mutable {
+    relay_answer(office, call, std::move(d));
+  });
 }
 void Core::ended(Outcome outcome) {
   post([this, o = std::move(outcome)] { relay_end(o); });
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -65,9 +65,10 @@
   bulletin.reset();
   core.stop();
   const auto& c = core.counts();
-  net::log_line("ended: " + std::to_string(c.requests) + " requests, " + std::to_string(c.stood) + " stood, " +
-                std::to_string(c.refused) + " refused, " + std::to_string(c.failed) + " failed, " +
-                std::to_string(c.given_up) + " given up, " + std::to_string(c.attempts) + " attempts");
+  net::log_line("ended: " + std::to_string(c.requests) + " requests, " + std::to_string(c.stood) +
+                " stood, " + std::to_string(c.refused) + " refused, " + std::to_string(c.failed) +
+                " failed, " + std::to_string(c.given_up) + " given up, " + std::to_string(c.attempts) +
+                " attempts");
   return 0;
 }
 
--- a/src/net/json.cpp
+++ b/src/net/json.cpp
@@ -16,7 +16,12 @@
 bool is_utf8(std::string_view text) {
   for (std::size_t i = 0; i < text.size();) {
     const auto lead = static_cast<unsigned char>(text[i]);
-    const std::size_t more = lead < 0x80 ? 0 : lead < 0xc2 ? 9 : lead < 0xe0 ? 1 : lead < 0xf0 ? 2 : lead < 0xf5 ? 3 : 9;
+    const std::size_t more = lead < 0x80   ? 0
+                             : lead < 0xc2 ? 9
+                             : lead < 0xe0 ? 1
+                             : lead < 0xf0 ? 2
+                             : lead < 0xf5 ? 3
+                                           : 9;
     if (more == 9 || i + more >= text.size()) return false;
     for (std::size_t k = 1; k <= more; ++k) {
       const auto next = static_cast<unsigned char>(text[i + k]);
@@ -51,7 +56,9 @@
     throw JsonError("the JSON text " + std::string(what) + " (byte " + std::to_string(at_) + ")");
   }
   void space() {
-    while (at_ < text_.size() && (text_[at_] == ' ' || text_[at_] == '\t' || text_[at_] == '\n' || text_[at_] == '\r')) ++at_;
+    while (at_ < text_.size() &&
+           (text_[at_] == ' ' || text_[at_] == '\t' || text_[at_] == '\n' || text_[at_] == '\r'))
+      ++at_;
   }
   char peek() {
     if (at_ >= text_.size()) fail("ends too early");
@@ -159,7 +166,8 @@
     if (c < 0x80) return put(c);
     if (c < 0x800) return put(0xc0 | c >> 6U), put(0x80 | (c & 0x3fU));
     if (c < 0x10000) return put(0xe0 | c >> 12U), put(0x80 | (c >> 6U & 0x3fU)), put(0x80 | (c & 0x3fU));
-    put(0xf0 | c >> 18U), put(0x80 | (c >> 12U & 0x3fU)), put(0x80 | (c >> 6U & 0x3fU)), put(0x80 | (c & 0x3fU));
+    put(0xf0 | c >> 18U), put(0x80 | (c >> 12U & 0x3fU)), put(0x80 | (c >> 6U & 0x3fU)),
+        put(0x80 | (c & 0x3fU));
   }
   std::string string() {
     std::string out;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -113,7 +113,8 @@
   Address out{std::string(text.substr(0, colon)), 0};
   const std::string_view port = text.substr(colon + 1);
   const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), out.port);
-  if (error != std::errc{} || end != port.data() + port.size() || port.empty() || !resolve(out)) return std::nullopt;
+  if (error != std::errc{} || end != port.data() + port.size() || port.empty() || !resolve(out))
+    return std::nullopt;
   return out;
 }
 std::string to_text(const Address& address) { return address.host + ":" + std::to_string(address.port); }
@@ -195,7 +196,8 @@
 
 bool Outbox::withdraw(std::uint64_t tag) {
   const std::lock_guard hold(lock_);
-  const auto found = std::find_if(items_.begin(), items_.end(), [tag](const Item& i) { return i.tag == tag; });
+  const auto found =
+      std::find_if(items_.begin(), items_.end(), [tag](const Item& i) { return i.tag == tag; });
   if (found == items_.end()) return false;
   queued_ -= found->bytes.size();
   items_.erase(found);
@@ -255,9 +257,7 @@
 }
 }  // namespace
 std::optional<std::uint64_t> parse_hex16(std::string_view text) { return parse_hex(text, 16); }
-std::string office_name(ServerId id) {
-  return "s-" + hex16(static_cast<std::uint32_t>(id)).substr(8);
-}
+std::string office_name(ServerId id) { return "s-" + hex16(static_cast<std::uint32_t>(id)).substr(8); }
 std::optional<ServerId> parse_office_name(std::string_view text) {
   if (text.substr(0, 2) != "s-") return std::nullopt;
   const auto id = parse_hex(text.substr(2), 8);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -68,7 +68,7 @@
   Dial how = Dial::failed;
 };
 Dialled dial(const Address& to, Time deadline);
-Fd listen_on(const Address& at);  // throws std::runtime_error
+Fd listen_on(const Address& at);                       // throws std::runtime_error
 bool write_all(const Fd& to, std::string_view bytes);  // blocks; false: the connection is over
 Fd accept_one(const Fd& listener, Time deadline);
 
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -38,7 +38,8 @@
   used = 0;
   if (text.size() < 4) return std::nullopt;
   const std::uint64_t length = number(text, 0, 4);
-  if (length < 9 || length > net::kMostMessage) throw std::runtime_error("a frame of " + std::to_string(length) + " bytes");
+  if (length < 9 || length > net::kMostMessage)
+    throw std::runtime_error("a frame of " + std::to_string(length) + " bytes");
   if (text.size() < 4 + length) return std::nullopt;
   Frame out;
   out.number = number(text, 4, 8);
@@ -46,7 +47,8 @@
   const std::string_view payload = text.substr(13, length - 9);
   if (out.kind > 2 || payload.size() % kRecord != 0 || (out.kind == 0 && !payload.empty()))
     throw std::runtime_error("a malformed frame");
-  for (std::size_t at = 0; at < payload.size(); at += kRecord) out.offices.push_back(read_record(payload.substr(at, kRecord)));
+  for (std::size_t at = 0; at < payload.size(); at += kRecord)
+    out.offices.push_back(read_record(payload.substr(at, kRecord)));
   used = 4 + length;
   return out;
 }
@@ -75,13 +77,15 @@
     if (dialled.how == net::Dial::up) follow(fd_);
     std::unique_lock hold(lock_);
     fd_.reset();
-    if (changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain, [this] { return stopping_; })) return;
+    if (changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain, [this] { return stopping_; }))
+      return;
   }
 }
 
 void Bulletin::follow(const net::Fd& fd) {
   std::string greeting;
-  for (int shift = 56; shift >= 0; shift -= 8) greeting += static_cast<char>(last_ >> static_cast<unsigned>(shift));
+  for (int shift = 56; shift >= 0; shift -= 8)
+    greeting += static_cast<char>(last_ >> static_cast<unsigned>(shift));
   if (!net::write_all(fd, greeting)) return;
   net::Buffer buffer;
   try {
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -34,7 +34,8 @@
 // One office: a thread that dials and reads, and for each connection a writer.
 class OfficeLink {
  public:
-  OfficeLink(core::Core& core, ServerId id, Duration dial_limit) : core_(core), id_(id), dial_limit_(dial_limit) {}
+  OfficeLink(core::Core& core, ServerId id, Duration dial_limit)
+      : core_(core), id_(id), dial_limit_(dial_limit) {}
   ~OfficeLink() { stop(); }
 
   void begin() {
@@ -112,7 +113,8 @@
   // With the lock held.
   void queue(CallId call, Open& open) {
     const std::uint32_t attempt = open.attempt;
-    const bool queued = outbox_->push(std::move(open.line), open.tag, [this, call, attempt] { return may_leave(call, attempt); });
+    const bool queued = outbox_->push(std::move(open.line), open.tag,
+                                      [this, call, attempt] { return may_leave(call, attempt); });
     if (!queued) fd_.shut();  // the reader reports what was open
   }
 
@@ -139,7 +141,8 @@
           return !gone_ && (ready_ || calls_stand_ || !owed_.empty()) && net::now() >= retry_at_;
         };
         while (!wanted()) {
-          const auto at = std::chrono::time_point<std::chrono::system_clock, Duration>(retry_at_.time_since_epoch());
+          const auto at =
+              std::chrono::time_point<std::chrono::system_clock, Duration>(retry_at_.time_since_epoch());
           if (net::now() < retry_at_) {
             changed_.wait_until(hold, at);
           } else {
@@ -250,7 +253,8 @@
       over(call);
       const Json* rc = line.find("rc");
       const auto cause = rc == nullptr ? std::nullopt : rc->numeric();
-      core_.ended({id_, call, cause ? static_cast<int>(std::clamp(*cause, 0.0, 127.0)) : 0, opt("note"), report});
+      core_.ended(
+          {id_, call, cause ? static_cast<int>(std::clamp(*cause, 0.0, 127.0)) : 0, opt("note"), report});
     }
   }
 
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -78,7 +78,8 @@
   while (text.substr(start, 2) == "\r\n") start += 2;  // RFC 3261, 7.5: blank lines before a message
   if (start > 0 && start == text.size()) return used = start, Parsed::more;
   const std::size_t end = text.find("\r\n\r\n", start);
-  if (end == std::string_view::npos) return text.size() - start > net::kMostMessage ? Parsed::malformed : Parsed::more;
+  if (end == std::string_view::npos)
+    return text.size() - start > net::kMostMessage ? Parsed::malformed : Parsed::more;
   std::string_view head = text.substr(start, end - start);
   std::size_t length = 0;
   bool first = true;
@@ -93,7 +94,8 @@
     }
     const std::size_t colon = line.find(':');
     const std::string_view name = trimmed(line.substr(0, std::min(colon, line.size())));
-    if (colon == std::string_view::npos || name.empty() || line.find('\n') != std::string_view::npos) return Parsed::malformed;
+    if (colon == std::string_view::npos || name.empty() || line.find('\n') != std::string_view::npos)
+      return Parsed::malformed;
     const std::string_view value = trimmed(line.substr(colon + 1));
     if (same_name(name, "Content-Length") || same_name(name, "l")) {
       const auto n = whole_number(value);
@@ -236,7 +238,8 @@
   std::list<std::shared_ptr<SipConnection>> over;
   {
     const std::lock_guard hold(lock_);
-    std::size_t excess = connections_.size() > most_connections_ ? connections_.size() - most_connections_ : 0;
+    std::size_t excess =
+        connections_.size() > most_connections_ ? connections_.size() - most_connections_ : 0;
     for (auto at = connections_.begin(); at != connections_.end();) {
       const auto next = std::next(at);
       if ((*at)->over()) {
@@ -281,7 +284,8 @@
   return from->push(answer(501, "Not Implemented", message.echoed()));
 }
 
-void SipFront::take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call) {
+void SipFront::take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message,
+                           CallId call) {
   core::Request request;
   CallArrived& told = request.told;
   told.call = call;
@@ -303,7 +307,8 @@
   told.call_class = static_cast<std::uint32_t>(name - class_names_.begin());
   if (const std::string* facts = message.header("X-Facts")) {
     net::each_figure(*facts, [&told](std::string_view fact, double value) {
-      if (fact == "dest" && value >= 0.0 && value < 1.0e6) told.destination = static_cast<std::uint32_t>(value);
+      if (fact == "dest" && value >= 0.0 && value < 1.0e6)
+        told.destination = static_cast<std::uint32_t>(value);
       if (fact == "again") told.cut_before = value != 0.0;
     });
   }
@@ -353,8 +358,9 @@
   static constexpr struct {
     int status;
     const char* reason;
-  } kAnswers[] = {{500, "Server Internal Error"}, {503, "Service Unavailable"}, {500, "Server Internal Error"},
-                  {408, "Request Timeout"},       {482, "Loop Detected"},       {488, "Not Acceptable Here"},
+  } kAnswers[] = {{500, "Server Internal Error"}, {503, "Service Unavailable"},
+                  {500, "Server Internal Error"}, {408, "Request Timeout"},
+                  {482, "Loop Detected"},         {488, "Not Acceptable Here"},
                   {487, "Request Terminated"}};
   const auto& a = kAnswers[static_cast<std::size_t>(why)];
   connection->push(answer(a.status, a.reason, d.echoed, advice));
@@ -368,7 +374,8 @@
   dialogues_.erase(found);
   const std::string id = net::hex16(static_cast<std::uint64_t>(call));
   std::string bye = "BYE " + d.uri + " SIP/2.0\r\nVia: SIP/2.0/TCP controller\r\nCall-ID: " + id +
-                    "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n";
+                    "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) +
+                    "\r\nContent-Length: 0\r\n\r\n";
   const auto own = d.connection.lock();
   if (own && !own->over() && own->push(bye)) return;
   // No connection owns a standing call: any open one will do, or else the next.
--- /dev/null
+++ b/tests/readme_example.cmake
@@ -0,0 +1,10 @@
+# Fails unless the README shows the example program to the letter (indented by four spaces).
+file(READ "${README}" readme)
+file(READ "${EXAMPLE}" example)
+string(REGEX REPLACE "\n+$" "" example "${example}")
+string(REPLACE "\n" "\n    " example "    ${example}")
+string(REGEX REPLACE "\n    \n" "\n\n" example "${example}")
+string(FIND "${readme}" "${example}" place)
+if(place EQUAL -1)
+  message(FATAL_ERROR "README.md does not show ${EXAMPLE} as it is")
+endif()
