--- a/adapter/host.cpp
+++ b/adapter/host.cpp
@@ -1,6 +1,6 @@
 #include "host.h"
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 namespace {
 
 LoadReport name_values(const std::vector<std::string>& columns, const std::vector<float>& values) {
@@ -122,4 +122,4 @@
   for (const Action& action : turn.actions) turn.reply.action(action);
 }
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/adapter/host.h
+++ b/adapter/host.h
@@ -8,7 +8,7 @@
 #include "config/settings.h"
 #include "wire.h"
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 
 class Host {
  public:
@@ -31,4 +31,4 @@
   std::map<std::uint8_t, std::vector<ServerEntry>> lists_;
 };
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-using thistleshunt::wire::Bytes;
+using reeltack::wire::Bytes;
 
 // Bytes read; fewer than wanted only where the input ends.
 std::size_t read_up_to(std::uint8_t* to, std::size_t wanted) { return std::fread(to, 1, wanted, stdin); }
@@ -29,30 +29,28 @@
 }
 
 int run() {
-  using namespace thistleshunt::wire;
-  Host host([](const std::string& line) { std::fprintf(stderr, "thistleshunt: %s\n", line.c_str()); });
+  using namespace reeltack::wire;
+  Host host([](const std::string& line) { std::fprintf(stderr, "reeltack: %s\n", line.c_str()); });
   for (unsigned long long batch = 0;; ++batch) {
     Bytes frame(kBatchHeader);
     const std::size_t got = read_up_to(frame.data(), frame.size());
     if (got == 0) return 0;
     if (got < frame.size()) {
-      std::fprintf(stderr, "thistleshunt: input ends within the header of frame %llu, at byte %zu\n", batch,
-                   got);
+      std::fprintf(stderr, "reeltack: input ends within the header of frame %llu, at byte %zu\n", batch, got);
       return 1;
     }
     try {
       if (!read_body(frame, body_length(frame))) {
-        std::fprintf(stderr, "thistleshunt: input ends within frame %llu, at byte %zu\n", batch,
-                     frame.size());
+        std::fprintf(stderr, "reeltack: input ends within frame %llu, at byte %zu\n", batch, frame.size());
         return 1;
       }
       const Bytes reply = host.answer(frame);
       if (std::fwrite(reply.data(), 1, reply.size(), stdout) != reply.size() || std::fflush(stdout) != 0) {
-        std::fprintf(stderr, "thistleshunt: cannot write the reply to frame %llu\n", batch);
+        std::fprintf(stderr, "reeltack: cannot write the reply to frame %llu\n", batch);
         return 1;
       }
     } catch (const WireError& error) {
-      std::fprintf(stderr, "thistleshunt: frame %llu: %s\n", batch, error.what());
+      std::fprintf(stderr, "reeltack: frame %llu: %s\n", batch, error.what());
       return 1;
     }
   }
@@ -64,7 +62,7 @@
   try {
     return run();
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "thistleshunt: %s\n", error.what());
+    std::fprintf(stderr, "reeltack: %s\n", error.what());
     return 1;
   }
 }
--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -5,7 +5,7 @@
 #include <cmath>
 #include <optional>
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 namespace {
 
 class Reader {
@@ -348,4 +348,4 @@
   return frame;
 }
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -9,9 +9,9 @@
 #include <variant>
 #include <vector>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 
 using Bytes = std::vector<std::uint8_t>;
 
@@ -80,4 +80,4 @@
   Bytes body_;
 };
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/include/thistleshunt/controller.h
+++ b/include/reeltack/controller.h
@@ -1,4 +1,4 @@
-// thistleshunt: the interface of the decision module.
+// reeltack: the interface of the decision module.
 //
 // One Controller decides for one gateway. The gateway hands it events in the order in which they happen and
 // carries out the actions that it appends, in their order, at once.
@@ -18,7 +18,7 @@
 #include <variant>
 #include <vector>
 
-namespace thistleshunt {
+namespace reeltack {
 
 using Duration = std::chrono::nanoseconds;
 
@@ -244,4 +244,4 @@
   std::unique_ptr<Policy> policy_;
 };
 
-}  // namespace thistleshunt
+}  // namespace reeltack
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <sstream>
 
-namespace thistleshunt::config {
+namespace reeltack::config {
 namespace {
 
 using net::Json;
@@ -243,4 +243,4 @@
   return out;
 }
 
-}  // namespace thistleshunt::config
+}  // namespace reeltack::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -13,7 +13,7 @@
 #include "core/core.h"
 #include "net/json.h"
 
-namespace thistleshunt::config {
+namespace reeltack::config {
 
 // The text names the file and the key at fault.
 class ConfigError : public std::runtime_error {
@@ -59,4 +59,4 @@
 // From PROXY_CONFIG, with PROXY_NAME and PROXY_LISTEN before the file's own words.
 Node node_from_environment();
 
-}  // namespace thistleshunt::config
+}  // namespace reeltack::config
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <string_view>
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 namespace {
 
 class Pairs {
@@ -151,4 +151,4 @@
   return parsed;
 }
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 
 // A setting that is needed and absent, or that cannot be read; the text names the key and its value.
 class SettingsError : public std::runtime_error {
@@ -22,4 +22,4 @@
 
 ParsedSettings parse_settings(const std::string& params);
 
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -4,7 +4,7 @@
 // Must never: weigh load or worth; that is the module's.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 
 // An answer must be on its way before the caller's own clock runs out.
 constexpr Duration kAnswerAhead = std::chrono::milliseconds(8);
@@ -27,4 +27,4 @@
   events_.emplace_back(record.request.told);
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -4,7 +4,7 @@
 // Must never: forget a call that stands, or keep the others for ever.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 namespace {
 
 // So long a call's record outlives its end: a late answer or a client that asks again finds it.
@@ -103,4 +103,4 @@
   events_.emplace_back(std::move(event));
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -21,9 +21,9 @@
 #include <vector>
 
 #include "net/net.h"
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 
 inline constexpr int kNormalClearing = 16;    // Q.850: given up, or over
 inline constexpr int kTemporaryFailure = 41;  // Q.850: cut
@@ -195,4 +195,4 @@
   net::Thread thread_;
 };
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -4,7 +4,7 @@
 // Must never: answer a call twice, or leave an office holding a call that nobody wants.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 namespace {
 
 Ending ending_of(int cause) {
@@ -82,4 +82,4 @@
   finish(*r, Phase::given_up, Why::given_up, {});
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -4,7 +4,7 @@
 // Must never: change, delay or reorder an action.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 
 void Core::route() {
   std::vector<Event> batch;
@@ -38,4 +38,4 @@
   // Probing, telling peers and asking for the list are not permitted or not needed here: the list is pushed.
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -5,7 +5,7 @@
 // Must never: choose an office, or send to one that the table does not list as ready.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 
 void Core::send(const SendSetUp& wanted) {
   Record* r = find(wanted.call);
@@ -45,4 +45,4 @@
   abandon(*r, ending, false);
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -4,7 +4,7 @@
 // Must never: decide on a call, or run a task on any other thread than the core's.
 #include "core/core.h"
 
-namespace thistleshunt::core {
+namespace reeltack::core {
 
 Core::Core(const Settings& settings, std::uint64_t seed) : controller_(settings, seed), settings_(settings) {}
 Core::~Core() { stop(); }
@@ -122,4 +122,4 @@
   }
 }
 
-}  // namespace thistleshunt::core
+}  // namespace reeltack::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using namespace thistleshunt;
+using namespace reeltack;
 
 // After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more.
 constexpr Duration kStillTaking = 750ms;
--- a/src/net/json.cpp
+++ b/src/net/json.cpp
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <cmath>
 
-namespace thistleshunt::net {
+namespace reeltack::net {
 
 std::optional<double> read_number(std::string_view text) {
   double value = 0.0;
@@ -250,4 +250,4 @@
   return out += '"';
 }
 
-}  // namespace thistleshunt::net
+}  // namespace reeltack::net
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -18,7 +18,7 @@
 
 #include "net/json.h"
 
-namespace thistleshunt::net {
+namespace reeltack::net {
 namespace {
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
@@ -277,4 +277,4 @@
   static_cast<void>(!::write(2, line.data(), line.size()));
 }
 
-}  // namespace thistleshunt::net
+}  // namespace reeltack::net
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -16,9 +16,9 @@
 #include <string_view>
 #include <utility>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt::net {
+namespace reeltack::net {
 
 Time now();  // the Unix clock
 inline constexpr Time kNever = Time::max();
@@ -124,4 +124,4 @@
 void each_figure(std::string_view text, const std::function<void(std::string_view, double)>& take);
 void log_line(const std::string& text);
 
-}  // namespace thistleshunt::net
+}  // namespace reeltack::net
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -2,7 +2,7 @@
 
 #include <stdexcept>
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 namespace {
 
 using namespace std::chrono_literals;
@@ -106,4 +106,4 @@
   }
 }
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/platform/bulletin.h
+++ b/src/platform/bulletin.h
@@ -8,7 +8,7 @@
 
 #include "core/core.h"
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 
 struct Frame {
   std::uint64_t number = 0;
@@ -36,4 +36,4 @@
   net::Thread thread_;
 };
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -5,7 +5,7 @@
 
 #include "net/json.h"
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 
 using core::OfficeEntry;
 using core::SetUp;
@@ -332,4 +332,4 @@
   if (const auto to = link(office)) to->keep(calls_stand);
 }
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -10,7 +10,7 @@
 
 #include "core/core.h"
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 
 LoadReport read_report(std::string_view text);  // "x0:12;x1:40"
 
@@ -36,4 +36,4 @@
   std::map<ServerId, std::shared_ptr<OfficeLink>> links_;
 };
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -7,7 +7,7 @@
 
 #include "net/json.h"
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 namespace {
 
 using namespace std::chrono_literals;
@@ -385,4 +385,4 @@
   owed_.push_back(std::move(bye));
 }
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -11,7 +11,7 @@
 
 #include "core/core.h"
 
-namespace thistleshunt::platform {
+namespace reeltack::platform {
 
 struct SipMessage {
   std::string method;  // or empty: an answer
@@ -66,4 +66,4 @@
   net::Thread thread_;
 };
 
-}  // namespace thistleshunt::platform
+}  // namespace reeltack::platform
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,5 @@
 // The decision module: which calls this gateway sets up, when, at which server, and which it refuses.
-// Its interface (settings, events, actions) is include/thistleshunt/controller.h.
+// Its interface (settings, events, actions) is include/reeltack/controller.h.
 //
 // The mechanism is the overload control of Andersson and Kihl (NTS 17, 2004, section 4). A call's way:
 //   arrived -> rough admission (EQ 1) -> token bucket (level) -> bind (first choice or rotation) -> waits at
@@ -15,9 +15,9 @@
 #include <span>
 #include <unordered_map>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt {
+namespace reeltack {
 namespace {
 
 // f, the margin in both tests: a tenth of the aim is left for what the measurement does not see.
@@ -935,4 +935,4 @@
 void Controller::on(Time now, const Event& event, ActionSink& actions) { on(now, {&event, 1}, actions); }
 std::size_t Controller::open_calls() const { return policy_->open_calls(); }
 
-}  // namespace thistleshunt
+}  // namespace reeltack
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -2,11 +2,11 @@
 #include <cstdio>
 #include <variant>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
 int main() {
   using namespace std::chrono_literals;
-  namespace ts = thistleshunt;
+  namespace ts = reeltack;
 
   ts::Settings settings;
   settings.classes.push_back({.aim = 2s, .deadline = 9s});
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -1,7 +1,7 @@
 // One test for each failure that was found and answered; each fails without its answer.
 #include "gateway.h"
 
-namespace thistleshunt::test {
+namespace reeltack::test {
 namespace {
 
 void warm_up(Gateway& g, std::uint32_t to, std::uint64_t from, Duration took) {
@@ -248,4 +248,4 @@
 }
 
 }  // namespace
-}  // namespace thistleshunt::test
+}  // namespace reeltack::test
--- a/tests/full_size_test.cpp
+++ b/tests/full_size_test.cpp
@@ -5,7 +5,7 @@
 
 #include "gateway.h"
 
-namespace thistleshunt::test {
+namespace reeltack::test {
 namespace {
 
 constexpr Duration kStep = 20ms;
@@ -356,4 +356,4 @@
 }
 
 }  // namespace
-}  // namespace thistleshunt::test
+}  // namespace reeltack::test
--- a/tests/gateway.h
+++ b/tests/gateway.h
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "thistleshunt/controller.h"
+#include "reeltack/controller.h"
 
-namespace thistleshunt::test {
+namespace reeltack::test {
 
 using namespace std::chrono_literals;
 
@@ -220,4 +220,4 @@
   std::multimap<Time, TimerToken> timers_;
 };
 
-}  // namespace thistleshunt::test
+}  // namespace reeltack::test
--- a/tests/mechanism_test.cpp
+++ b/tests/mechanism_test.cpp
@@ -3,7 +3,7 @@
 
 #include "gateway.h"
 
-namespace thistleshunt::test {
+namespace reeltack::test {
 namespace {
 
 // A gateway with one server (place 0) whose delay has been measured as `took` by one answered call.
@@ -194,4 +194,4 @@
 }
 
 }  // namespace
-}  // namespace thistleshunt::test
+}  // namespace reeltack::test
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -4,7 +4,7 @@
 
 #include "gateway.h"
 
-namespace thistleshunt::test {
+namespace reeltack::test {
 namespace {
 
 TEST(Rule1, EveryCallIsAnsweredBeforeItsCallerLeaves) {
@@ -235,4 +235,4 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, Storm, ::testing::Range<std::uint64_t>(1, 25));
 
 }  // namespace
-}  // namespace thistleshunt::test
+}  // namespace reeltack::test
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include "host.h"
 
-namespace thistleshunt::wire {
+namespace reeltack::wire {
 namespace {
 
 Bytes hex(const std::string& text) {
@@ -284,4 +284,4 @@
 }
 
 }  // namespace
-}  // namespace thistleshunt::wire
+}  // namespace reeltack::wire
