--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -210,11 +210,17 @@
   top.only({"websocket", "zone"});
   Fronts out;
   const Section websocket = top.at("websocket");
-  websocket.only({"on", "clients", "centrales", "connections"});
+  websocket.only({"on", "listen", "connections", "origins"});
   if (websocket.flag("on", false)) {
-    out.websocket = websocket.address("clients");
-    if (!out.websocket) websocket.fail("clients", "is missing");
-    out.centrales = websocket.address("centrales");
+    out.websocket = websocket.address("listen");
+    if (!out.websocket) websocket.fail("listen", "is missing");
+    if (const Json* origins = websocket.find("origins")) {
+      if (origins->array() == nullptr) websocket.fail("origins", "must be a list of strings");
+      for (const Json& origin : *origins->array()) {
+        if (origin.string() == nullptr) websocket.fail("origins", "must be a list of strings");
+        out.websocket_origins.push_back(*origin.string());
+      }
+    }
     out.websocket_connections = static_cast<std::size_t>(websocket.number("connections", 1, 100000, 128.0));
   }
   const Section zone = top.at("zone");
@@ -225,6 +231,9 @@
     if (out.zone_service.empty() || out.zone_service.back() != '.')
       zone.fail("service", "must be a whole domain name that ends in a dot");
     out.updates = zone.address("updates");
+    // Updates carry no signature here, so only this machine may send them.
+    if (out.updates && out.updates->host.rfind("127.", 0) != 0)
+      zone.fail("updates", "must be a loopback address");
   }
   return out;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -43,10 +43,10 @@
 
 // Our own deploy file: the second front and the zone. All off where nothing says otherwise.
 struct Fronts {
-  std::optional<net::Address> websocket;
+  std::optional<net::Address> websocket;  // clients at /calls, centrales at /centrales
   std::size_t websocket_connections = 128;
-  std::optional<net::Address> centrales;  // where centrales connect to the second front
-  std::optional<net::Address> updates;    // dynamic updates of the zone
+  std::vector<std::string> websocket_origins;  // of browsers; none: any
+  std::optional<net::Address> updates;         // dynamic updates of the zone
   std::string zone_file;
   std::string zone_service;  // the owner name whose SRV records are the offices
 };
--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -48,7 +48,7 @@
   --open_;
   ++(phase == Phase::refused ? counts_.refused : phase == Phase::failed ? counts_.failed : counts_.given_up);
   const CallId call = record.request.told.call;
-  timers_.emplace(now_ + kKept, Due{Due::Kind::forget, static_cast<std::uint64_t>(call), 0});
+  timers_.emplace(now_ + kKept, Due{Due::Kind::forget, static_cast<std::uint64_t>(call), 0, {}});
   record.request.description.clear();
   record.request.side->refused(call, why, later);
 }
@@ -59,7 +59,7 @@
   record.request.description.clear();
   standing(record.stands_at, -1);
   timers_.emplace(now_ + kKept,
-                  Due{Due::Kind::forget, static_cast<std::uint64_t>(record.request.told.call), 0});
+                  Due{Due::Kind::forget, static_cast<std::uint64_t>(record.request.told.call), 0, {}});
 }
 
 void Core::standing(ServerId office, int change) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -106,6 +106,8 @@
   void release(CallId call);                                         // the caller ends a call that stands
   void ask(CallId call, std::function<void(const Status&)> answer);  // answered on the core's thread
 
+  void at(Time time, std::function<void()> task);  // runs it on the core's thread, then or soon after
+
   // For the offices' side, from any thread.
   void answered(ServerId office, CallId call, std::string description);
   void ended(Outcome outcome);
@@ -138,9 +140,10 @@
     std::string answer;
   };
   struct Due {
-    enum class Kind { module, attempt, deadline, forget } kind{};
+    enum class Kind { module, attempt, deadline, forget, task } kind{};
     std::uint64_t id = 0;  // token or call
     std::uint32_t attempt = 0;
+    std::function<void()> task{};
   };
   using Task = std::function<void()>;
 
--- /dev/null
+++ b/src/core/office_list.cpp
@@ -0,0 +1,38 @@
+#include "core/office_list.h"
+
+#include <algorithm>
+
+namespace reeltack::core {
+
+void OfficeList::told(Source source, bool complete, std::vector<OfficeEntry> offices) {
+  const std::lock_guard hold(lock_);  // over the hand-on too: changes must not overtake each other
+  auto& named = named_[source];
+  if (complete) {
+    for (const auto& [id, entry] : named) {
+      const bool kept = std::any_of(offices.begin(), offices.end(),
+                                    [id = id](const OfficeEntry& o) { return o.entry.server == id; });
+      if (kept || entry.entry.state == ServerState::gone) continue;
+      offices.push_back(entry);
+      offices.back().entry.state = ServerState::gone;
+    }
+  }
+  for (const OfficeEntry& o : offices) named[o.entry.server] = o;
+  std::erase_if(named, [](const auto& n) { return n.second.entry.state == ServerState::gone; });
+  core_.told(false, std::move(offices));
+}
+
+bool OfficeList::named_elsewhere(Source source, ServerId office) {
+  const std::lock_guard hold(lock_);
+  return std::any_of(named_.begin(), named_.end(),
+                     [&](const auto& n) { return n.first != source && n.second.contains(office); });
+}
+
+void OfficeSwitch::listed(bool complete, const std::vector<OfficeEntry>& offices) {
+  std::vector<OfficeEntry> dialled;
+  for (const OfficeEntry& o : offices) {
+    if (!registered_owns_(o.entry.server)) dialled.push_back(o);
+  }
+  dialled_.listed(complete, dialled);
+}
+
+}  // namespace reeltack::core
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -31,7 +31,7 @@
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
     attempt_over(cancel->call, cancel->attempt, Ending::cancelled);
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
-    timers_.emplace(timer->at, Due{Due::Kind::module, static_cast<std::uint64_t>(timer->token), 0});
+    timers_.emplace(timer->at, Due{Due::Kind::module, static_cast<std::uint64_t>(timer->token), 0, {}});
   } else if (const auto* line = std::get_if<LogLine>(&action)) {
     net::log_line("module: " + line->text);
   }
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -25,7 +25,7 @@
   const Time give_up = wanted.give_up == Time{} ? latest : std::min(wanted.give_up, latest);
   if (give_up < latest)  // the deadline has a timer of its own
     timers_.emplace(give_up,
-                    Due{Due::Kind::attempt, static_cast<std::uint64_t>(wanted.call), attempt.number});
+                    Due{Due::Kind::attempt, static_cast<std::uint64_t>(wanted.call), attempt.number, {}});
   const CallArrived& told = r->request.told;
   offices_->start({wanted.call, attempt.number, wanted.server, give_up, told.call_class, told.number,
                    r->request.description});
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -46,6 +46,11 @@
     answer(r == nullptr ? Status{} : Status{r->phase, r->why, r->answer, r->request.side});
   });
 }
+void Core::at(Time time, std::function<void()> task) {
+  post([this, time, task = std::move(task)]() mutable {
+    timers_.emplace(time, Due{Due::Kind::task, 0, 0, std::move(task)});
+  });
+}
 void Core::answered(ServerId office, CallId call, std::string description) {
   post([this, office, call, d = std::move(description)]() mutable {
     relay_answer(office, call, std::move(d));
@@ -98,7 +103,7 @@
 
 void Core::take_timers() {
   while (!timers_.empty() && timers_.begin()->first <= now_) {
-    const Due due = timers_.begin()->second;
+    const Due due = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
     const CallId call{due.id};
     switch (due.kind) {
@@ -115,6 +120,9 @@
           finish(*r, Phase::failed, Why::deadline_passed, {});
         }
         break;
+      case Due::Kind::task:
+        due.task();
+        break;
       case Due::Kind::forget:
         if (const Record* r = find(call); r != nullptr && r->phase != Phase::stands) calls_.erase(call);
         break;
--- /dev/null
+++ b/src/dns/updates.h
@@ -0,0 +1,53 @@
+// Dynamic updates (RFC 2136) over TCP, to the one zone that is served.
+//
+// Owns: the zone once it is loaded, each update as a whole or not at all, the zone's file, and what the
+// office
+//   list hears of it. An office that leaves the zone drains.
+// Must never: answer queries, take half an update, or take one from another machine.
+#pragma once
+
+#include "core/office_list.h"
+#include "dns/zone.h"
+#include "net/door.h"
+
+namespace reeltack::dns {
+
+// RFC 2136, 2.2: response codes.
+enum Rcode {
+  kNoError = 0,
+  kFormErr = 1,
+  kServFail = 2,
+  kNxDomain = 3,
+  kNotImp = 4,
+  kRefused = 5,
+  kYxDomain = 6,
+  kYxRrset = 7,
+  kNxRrset = 8,
+  kNotAuth = 9,
+  kNotZone = 10
+};
+
+// Carries out one update on the zone; unless the code is kNoError the zone is as it was.
+int apply_update(Zone& zone, std::string_view message, bool& changed);
+
+class Updates {
+ public:
+  // The zone's offices are told at once. `file`: where changes are kept; empty: nowhere.
+  Updates(core::OfficeList& list, Zone zone, std::string service, std::string file);
+  void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
+  void close_all() { door_.close_all(); }
+  std::string answer(std::string_view message);  // a whole message in, its answer out
+
+ private:
+  void tell();
+  bool keep(const Zone& zone) const;
+  core::OfficeList& list_;
+  const std::string service_;
+  const std::string file_;
+  std::mutex lock_;
+  Zone zone_;
+  std::map<ServerId, core::OfficeEntry> told_;
+  net::Door door_;
+};
+
+}  // namespace reeltack::dns
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,9 +10,12 @@
 #include <exception>
 
 #include "config/config.h"
+#include "core/office_list.h"
+#include "dns/updates.h"
 #include "platform/bulletin.h"
 #include "platform/offices.h"
 #include "platform/sip.h"
+#include "ws/front.h"
 
 namespace {
 
@@ -46,22 +49,34 @@
   // Callers may hold a third of the descriptors; a few more places let new ones in while old ones end.
   const std::size_t callers = node.limits.sockets * 45 / 100;
   core::Core core(node.settings, node.seed);
+  core::OfficeList list(core);
   platform::Offices offices(core, node.class_names, node.dial_limit);
+  ws::Front websocket(core, list, {node.class_names, fronts.websocket_origins, fronts.websocket_connections});
+  core::OfficeSwitch sides(offices, websocket, [&websocket](ServerId id) { return websocket.owns(id); });
   platform::SipFront sip(core, node.class_names, callers);
   // On every way out the core's thread ends before what it calls is gone.
   const struct Ended {
     core::Core& core;
     ~Ended() { core.stop(); }
   } ended{core};
-  core.start(offices);
-  if (!node.known.empty()) core.told(true, node.known);
+  core.start(sides);
+  if (!node.known.empty()) list.told(core::Source::platform, true, node.known);
+  std::optional<dns::Updates> zone;
+  if (!fronts.zone_file.empty()) {
+    dns::Zone read = dns::Zone::read(config::read_file(fronts.zone_file), fronts.zone_file);
+    zone.emplace(list, std::move(read), fronts.zone_service, fronts.zone_file);
+    if (fronts.updates) zone->open(*fronts.updates);
+  }
   std::optional<platform::Bulletin> bulletin;
-  if (node.bulletin) bulletin.emplace(core, *node.bulletin, node.known_no);
+  if (node.bulletin) bulletin.emplace(list, *node.bulletin, node.known_no);
+  if (fronts.websocket) websocket.open(*fronts.websocket);
   if (node.listen) sip.open(*node.listen);
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
   wait_for_end(core);
   sip.close_all();
+  websocket.close_all();
+  if (zone) zone->close_all();
   bulletin.reset();
   core.stop();
   const auto& c = core.counts();
--- /dev/null
+++ b/src/net/door.h
@@ -0,0 +1,81 @@
+// The accepting side of every front: a listener and the connections that came in by it.
+//
+// Owns: the accept loop, each peer's reader and writer, the limit on their number, and their orderly end.
+// Must never: know what a peer says, or close one that still waits for an answer to make room.
+#pragma once
+
+#include <atomic>
+#include <list>
+#include <memory>
+#include <set>
+
+#include "net/net.h"
+
+namespace reeltack::net {
+
+// One accepted connection: a thread that reads, one that writes. Fronts derive from it.
+class Peer : public std::enable_shared_from_this<Peer> {
+ public:
+  explicit Peer(Fd fd) : fd_(std::move(fd)) {}
+  virtual ~Peer() { join(); }
+  Peer(const Peer&) = delete;
+  Peer& operator=(const Peer&) = delete;
+
+  void begin();  // throws std::runtime_error where no thread can be had
+  // False: closed, or the peer does not read; it is cut off then.
+  bool push(std::string bytes, std::uint64_t tag = 0, Outbox::Check check = {});
+  [[nodiscard]] bool behind() const { return outbox_.behind(); }
+  void cut();  // at once, whatever is queued
+  void finish() { outbox_.finish(); }
+  void join();
+  [[nodiscard]] bool over() const { return over_; }
+
+  // The set-ups that came here and have no final answer yet.
+  void opened(CallId call);
+  void closed(CallId call);
+  [[nodiscard]] bool idle() const;
+
+ protected:
+  // The reader's life, on its own thread; what it leaves queued is still written.
+  virtual void read() = 0;
+  // After the last read, with the set-ups that were open here.
+  virtual void left(const std::set<CallId>& open) = 0;
+
+  Fd fd_;
+  Buffer buffer_;
+
+ private:
+  Outbox outbox_;
+  mutable std::mutex lock_;
+  std::set<CallId> open_;
+  std::atomic<bool> over_{false};
+  Thread writer_;
+  Thread reader_;
+};
+
+class Door {
+ public:
+  using Make = std::function<std::shared_ptr<Peer>(Fd)>;
+  using Joined = std::function<void(Peer&)>;
+  Door(std::size_t most, Make make, Joined joined = {});
+  ~Door() { close_all(); }
+  void open(const Address& at);  // throws std::runtime_error
+  void stop_accepting();
+  void close_all();  // writes what is queued, then ends every connection
+  // Hands it to the first open connection that takes it; false: there is none.
+  bool push_to_any(const std::string& bytes);
+
+ private:
+  void accept_loop();
+  void reap();
+  const std::size_t most_;
+  const Make make_;
+  const Joined joined_;
+  Fd listener_;
+  std::atomic<bool> accepting_{false};
+  std::mutex lock_;
+  std::list<std::shared_ptr<Peer>> peers_;
+  Thread thread_;
+};
+
+}  // namespace reeltack::net
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -53,8 +53,8 @@
   return out;
 }
 
-Bulletin::Bulletin(core::Core& core, net::Address at, std::uint64_t last)
-    : core_(core), at_(std::move(at)), last_(last), thread_([this] { run(); }) {}
+Bulletin::Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last)
+    : list_(list), at_(std::move(at)), last_(last), thread_([this] { run(); }) {}
 
 Bulletin::~Bulletin() {
   {
@@ -99,7 +99,7 @@
       buffer.take(used);
       if (frame->kind == 0) continue;
       last_ = std::max(last_, frame->number);
-      core_.told(frame->kind == 1, std::move(frame->offices));
+      list_.told(core::Source::platform, frame->kind == 1, std::move(frame->offices));
     }
   } catch (const std::runtime_error& error) {
     net::log_line(std::string("bulletin: ") + error.what() + "; connecting anew");
--- a/src/platform/bulletin.h
+++ b/src/platform/bulletin.h
@@ -6,7 +6,7 @@
 
 #include <atomic>
 
-#include "core/core.h"
+#include "core/office_list.h"
 
 namespace reeltack::platform {
 
@@ -20,13 +20,13 @@
 
 class Bulletin {
  public:
-  Bulletin(core::Core& core, net::Address at, std::uint64_t last);
+  Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last);
   ~Bulletin();
 
  private:
   void run();
   void follow(const net::Fd& fd);
-  core::Core& core_;
+  core::OfficeList& list_;
   const net::Address at_;
   std::uint64_t last_;
   std::mutex lock_;
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -115,149 +115,51 @@
   return Parsed::whole;
 }
 
-// A caller's connection: a thread that reads, one that writes.
-class SipConnection : public std::enable_shared_from_this<SipConnection> {
+// A caller's connection.
+class SipConnection final : public net::Peer {
  public:
-  SipConnection(SipFront& front, net::Fd fd) : front_(front), fd_(std::move(fd)) {}
-  ~SipConnection() { join(); }
-  void begin() {
-    writer_ = net::Thread([this] { outbox_.write_to(fd_); });
-    reader_ = net::Thread([this] { read(); });
-  }
-  bool push(std::string bytes) {
-    if (outbox_.push(std::move(bytes))) return true;
-    outbox_.abandon();
-    fd_.shut();
-    return false;
-  }
-  void finish() { outbox_.finish(); }
-  void join() {
-    reader_.join();
-    writer_.join();
-  }
-  [[nodiscard]] bool over() const { return over_; }
-  // Of the set-ups that came here and have no final answer yet.
-  void opened(CallId call) {
-    const std::lock_guard hold(lock_);
-    open_.insert(call);
-  }
-  void closed(CallId call) {
-    const std::lock_guard hold(lock_);
-    open_.erase(call);
-  }
-  [[nodiscard]] bool idle() const {
-    const std::lock_guard hold(lock_);
-    return open_.empty();
-  }
+  SipConnection(SipFront& front, net::Fd fd) : net::Peer(std::move(fd)), front_(front) {}
 
- private:
-  void read() {
-    const auto self = shared_from_this();
-    net::Buffer buffer;
+ protected:
+  void read() override {
+    const auto self = std::static_pointer_cast<SipConnection>(shared_from_this());
     for (;;) {
       SipMessage message;
       std::size_t used = 0;
-      const Parsed parsed = parse_sip(buffer.view(), message, used);
-      buffer.take(used);
+      const Parsed parsed = parse_sip(buffer_.view(), message, used);
+      buffer_.take(used);
       if (parsed == Parsed::malformed) {
         push("SIP/2.0 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
-        break;
+        return;
       }
       if (parsed == Parsed::whole) {
         if (front_.take(self, message)) continue;
         push(answer(400, "Bad Request", message.echoed()));
-        break;
+        return;
       }
-      const net::Got got = buffer.fill(fd_, net::now() + kIdle);
-      if (got == net::Got::closed || (got == net::Got::late && idle())) break;
-    }
-    outbox_.finish();
-    std::set<CallId> open;
-    {
-      const std::lock_guard hold(lock_);
-      open.swap(open_);
+      const net::Got got = buffer_.fill(fd_, net::now() + kIdle);
+      if (got == net::Got::closed || (got == net::Got::late && idle())) return;
     }
+  }
+  void left(const std::set<CallId>& open) override {
     for (const CallId call : open) front_.core_.give_up(call);  // nobody is left to answer
-    over_ = true;
   }
 
+ private:
   SipFront& front_;
-  net::Fd fd_;
-  net::Outbox outbox_;
-  mutable std::mutex lock_;
-  std::set<CallId> open_;
-  std::atomic<bool> over_{false};
-  net::Thread writer_;
-  net::Thread reader_;
 };
 
 SipFront::SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections)
-    : core_(core), class_names_(std::move(class_names)), most_connections_(most_connections) {}
-SipFront::~SipFront() { close_all(); }
+    : core_(core),
+      class_names_(std::move(class_names)),
+      door_(
+          most_connections,
+          [this](net::Fd fd) { return std::make_shared<SipConnection>(*this, std::move(fd)); },
+          [this](net::Peer& connection) { joined(connection); }) {}
 
-void SipFront::open(const net::Address& at) {
-  listener_ = net::listen_on(at);
-  accepting_ = true;
-  thread_ = net::Thread([this] { accept_loop(); });
-}
-void SipFront::stop_accepting() {
-  accepting_ = false;
-  thread_.join();
-  listener_.reset();
-}
-void SipFront::close_all() {
-  stop_accepting();
-  std::list<std::shared_ptr<SipConnection>> all;
-  {
-    const std::lock_guard hold(lock_);
-    all.swap(connections_);
-  }
-  for (const auto& c : all) c->finish();
-  for (const auto& c : all) c->join();
-}
-
-void SipFront::accept_loop() {
-  while (accepting_) {
-    net::Fd fd = net::accept_one(listener_, net::now() + 50ms);
-    reap();
-    if (!fd) continue;
-    auto connection = std::make_shared<SipConnection>(*this, std::move(fd));
-    try {
-      connection->begin();
-    } catch (const std::runtime_error& error) {  // out of threads: this caller must try elsewhere
-      net::log_line(error.what());
-      connection->finish();
-      continue;
-    }
-    joined(connection);
-  }
-}
-
-// Ends what is over. At the limit, the oldest connections that carry no set-up make room.
-void SipFront::reap() {
-  std::list<std::shared_ptr<SipConnection>> over;
-  {
-    const std::lock_guard hold(lock_);
-    std::size_t excess =
-        connections_.size() > most_connections_ ? connections_.size() - most_connections_ : 0;
-    for (auto at = connections_.begin(); at != connections_.end();) {
-      const auto next = std::next(at);
-      if ((*at)->over()) {
-        over.splice(over.end(), connections_, at);
-      } else if (excess > 0 && (*at)->idle()) {
-        (*at)->finish();
-        --excess;
-      }
-      at = next;
-    }
-  }
-  for (const auto& c : over) c->join();
-}
-
-void SipFront::joined(const std::shared_ptr<SipConnection>& connection) {
+void SipFront::joined(net::Peer& connection) {
   const std::lock_guard hold(lock_);
-  connections_.push_back(connection);
-  for (std::string& line : owed_) connection->push(std::move(line));
+  for (std::string& line : owed_) connection.push(std::move(line));
   owed_.clear();
 }
 
@@ -379,10 +281,7 @@
   const auto own = d.connection.lock();
   if (own && !own->over() && own->push(bye)) return;
   // No connection owns a standing call: any open one will do, or else the next.
-  for (const auto& connection : connections_) {
-    if (!connection->over() && connection->push(bye)) return;
-  }
-  owed_.push_back(std::move(bye));
+  if (!door_.push_to_any(bye)) owed_.push_back(std::move(bye));
 }
 
 }  // namespace reeltack::platform
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -4,12 +4,12 @@
 // Must never: decide on a call, answer one twice, or close a connection on which a set-up is open.
 #pragma once
 
-#include <list>
 #include <memory>
 #include <set>
 #include <unordered_map>
 
 #include "core/core.h"
+#include "net/door.h"
 
 namespace reeltack::platform {
 
@@ -31,10 +31,8 @@
 class SipFront final : public core::CallerSide {
  public:
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
-  ~SipFront() override;
-  void open(const net::Address& at);  // throws std::runtime_error
-  void stop_accepting();
-  void close_all();  // writes what is queued, then ends every connection
+  void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
+  void close_all() { door_.close_all(); }                // writes what is queued, then ends every connection
 
   bool stands(CallId call, const std::string& description) override;
   void refused(CallId call, core::Why why, Duration later) override;
@@ -48,22 +46,16 @@
     std::string uri;
     bool answered = false;
   };
-  void accept_loop();
-  void reap();
-  void joined(const std::shared_ptr<SipConnection>& connection);
+  void joined(net::Peer& connection);
   bool take(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
   void take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
 
   core::Core& core_;
   const std::vector<std::string> class_names_;
-  const std::size_t most_connections_;
-  net::Fd listener_;
-  std::atomic<bool> accepting_{false};
   std::mutex lock_;  // guards the tables below
   std::unordered_map<CallId, Dialogue> dialogues_;
-  std::list<std::shared_ptr<SipConnection>> connections_;
   std::vector<std::string> owed_;  // releases for the next connection
-  net::Thread thread_;
+  net::Door door_;                 // last: its connections end before what they use
 };
 
 }  // namespace reeltack::platform
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,7 +25,7 @@
 // f of step 3: lower, since a line idle now while another queue is long is capacity lost for good.
 constexpr double kSpill = 0.3;
 // d, as a part of the set-ups a second that this gateway gets answered. Small: the bucket is blind to worth.
-constexpr double kGuaranteed = 0.1;
+constexpr double kGuaranteed = 0.02;
 // Weight of the newest answer in the mean of measured delays.
 constexpr double kNewest = 0.3;
 // Half-life of a measurement, in own share intervals. Other values not measured.
--- /dev/null
+++ b/src/ws/frames.cpp
@@ -0,0 +1,209 @@
+#include "ws/frames.h"
+
+#include <nettle/base64.h>
+#include <nettle/sha1.h>
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+
+#include "net/json.h"
+#include "net/net.h"
+
+namespace reeltack::ws {
+namespace {
+
+constexpr std::size_t kMostHead = 8192;
+constexpr std::size_t kMostControl = 125;
+
+bool same(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+bool lists(std::string_view value, std::string_view token) {
+  while (!value.empty()) {
+    const std::string_view one = value.substr(0, value.find(','));
+    value.remove_prefix(std::min(one.size() + 1, value.size()));
+    if (same(trimmed(one), token)) return true;
+  }
+  return false;
+}
+
+std::string accept_key(std::string_view key) {
+  static constexpr std::string_view kSuffix = "258EAFA5-E914-47DA-95CA-C5AB0DC85B11";
+  sha1_ctx sha;
+  sha1_init(&sha);
+  sha1_update(&sha, key.size(), reinterpret_cast<const std::uint8_t*>(key.data()));
+  sha1_update(&sha, kSuffix.size(), reinterpret_cast<const std::uint8_t*>(kSuffix.data()));
+  std::array<std::uint8_t, SHA1_DIGEST_SIZE> digest{};
+  sha1_digest(&sha, digest.size(), digest.data());
+  std::string out(BASE64_ENCODE_RAW_LENGTH(SHA1_DIGEST_SIZE), '\0');
+  base64_encode_raw(out.data(), digest.size(), digest.data());
+  return out;
+}
+bool is_key(std::string_view key) {  // base64 of 16 bytes
+  if (key.size() != 24) return false;
+  base64_decode_ctx decode;
+  base64_decode_init(&decode);
+  std::array<std::uint8_t, BASE64_DECODE_LENGTH(24)> out{};
+  std::size_t n = 0;
+  return base64_decode_update(&decode, &n, out.data(), key.size(), key.data()) == 1 && n == 16 &&
+         base64_decode_final(&decode) == 1;
+}
+
+Handshake rejected(const char* status, const char* more = "") {
+  return {
+      Handshake::Result::rejected, "",
+      std::string("HTTP/1.1 ") + status + "\r\n" + more + "Connection: close\r\nContent-Length: 0\r\n\r\n",
+      0};
+}
+
+bool may_close_with(int code) {
+  return (code >= 1000 && code <= 1003) || (code >= 1007 && code <= 1011) || (code >= 3000 && code <= 4999);
+}
+
+std::string frame(int opcode, std::string_view payload) {
+  std::string out(1, static_cast<char>(0x80 | opcode));
+  const std::size_t n = payload.size();
+  if (n < 126) {
+    out += static_cast<char>(n);
+  } else {
+    const int bytes = n < 65536 ? 2 : 8;
+    out += static_cast<char>(bytes == 2 ? 126 : 127);
+    for (int i = bytes - 1; i >= 0; --i) out += static_cast<char>(n >> static_cast<unsigned>(8 * i));
+  }
+  return out.append(payload);
+}
+
+}  // namespace
+
+Handshake read_handshake(std::string_view text, const std::vector<std::string>& paths,
+                         const std::vector<std::string>& origins) {
+  const std::size_t end = text.find("\r\n\r\n");
+  if (end == std::string_view::npos)
+    return text.size() > kMostHead ? rejected("431 Request Header Fields Too Large") : Handshake{};
+  if (end > kMostHead) return rejected("431 Request Header Fields Too Large");
+  std::string_view head = text.substr(0, end);
+  const std::string_view first = head.substr(0, head.find("\r\n"));
+  head.remove_prefix(std::min(first.size() + 2, head.size()));
+  const std::size_t one = first.find(' ');
+  const std::size_t two = first.find(' ', one == std::string_view::npos ? one : one + 1);
+  if (two == std::string_view::npos || first.substr(two + 1) != "HTTP/1.1")
+    return rejected("400 Bad Request");
+  if (first.substr(0, one) != "GET") return rejected("405 Method Not Allowed", "Allow: GET\r\n");
+  std::string path(first.substr(one + 1, two - one - 1));
+  path = path.substr(0, path.find('?'));
+  bool host = false;
+  bool upgrade = false;
+  bool connection = false;
+  bool version = false;
+  std::string key;
+  std::string origin;
+  while (!head.empty()) {
+    const std::string_view line = head.substr(0, head.find("\r\n"));
+    head.remove_prefix(std::min(line.size() + 2, head.size()));
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) return rejected("400 Bad Request");
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    if (same(name, "Host")) host = !value.empty();
+    if (same(name, "Upgrade")) upgrade = upgrade || lists(value, "websocket");
+    if (same(name, "Connection")) connection = connection || lists(value, "upgrade");
+    if (same(name, "Sec-WebSocket-Version")) version = value == "13";
+    if (same(name, "Origin")) origin = value;
+    if (same(name, "Sec-WebSocket-Key")) {
+      if (!key.empty()) return rejected("400 Bad Request");
+      key = value;
+    }
+  }
+  if (std::find(paths.begin(), paths.end(), path) == paths.end()) return rejected("404 Not Found");
+  if (!upgrade || !connection)
+    return rejected("426 Upgrade Required", "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n");
+  if (!version) return rejected("426 Upgrade Required", "Sec-WebSocket-Version: 13\r\n");
+  if (!host || !is_key(key)) return rejected("400 Bad Request");
+  // Guards co-operatives' callers against a foreign web page that drives their browser.
+  if (!origin.empty() && !origins.empty() &&
+      std::find(origins.begin(), origins.end(), origin) == origins.end())
+    return rejected("403 Forbidden");
+  return {Handshake::Result::accepted, path,
+          "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+          "Sec-WebSocket-Accept: " +
+              accept_key(key) + "\r\n\r\n",
+          end + 4};
+}
+
+std::optional<Message> Assembler::breach(int code) {
+  fault_ = code;
+  return std::nullopt;
+}
+
+std::optional<Message> Assembler::next(std::string_view text, std::size_t& used) {
+  used = 0;
+  while (fault_ == 0) {
+    const std::string_view rest = text.substr(used);
+    const auto byte = [&rest](std::size_t i) { return static_cast<unsigned char>(rest[i]); };
+    if (rest.size() < 2) return std::nullopt;
+    const int opcode = byte(0) & 0x0f;
+    const bool fin = (byte(0) & 0x80U) != 0;
+    const bool control = opcode >= 8;
+    if ((byte(0) & 0x70U) != 0 || (opcode > 2 && opcode < 8) || opcode > kOpPong)
+      return breach(kProtocolError);
+    if ((byte(1) & 0x80U) == 0) return breach(kProtocolError);  // a client's frames are masked
+    std::uint64_t length = byte(1) & 0x7fU;
+    std::size_t at = 2;
+    if (control && (!fin || length > kMostControl)) return breach(kProtocolError);
+    if (length >= 126) {
+      const std::size_t bytes = length == 126 ? 2 : 8;
+      if (rest.size() < at + bytes) return std::nullopt;
+      length = 0;
+      for (std::size_t i = 0; i < bytes; ++i) length = length << 8U | byte(at + i);
+      at += bytes;
+      // The shortest form is demanded, and the highest bit stays clear.
+      if (length < (bytes == 2 ? 126U : 65536U) || length >> 63U != 0) return breach(kProtocolError);
+    }
+    if (opcode == 2) return breach(kNotUnderstood);
+    if (!control && (opcode == 0) != in_parts_) return breach(kProtocolError);
+    if (!control && parts_.size() + length > net::kMostMessage) return breach(kTooBig);
+    if (rest.size() < at + 4 + length) return std::nullopt;
+    const std::string_view mask = rest.substr(at, 4);
+    std::string payload(rest.substr(at + 4, length));
+    for (std::size_t i = 0; i < payload.size(); ++i) payload[i] = static_cast<char>(payload[i] ^ mask[i % 4]);
+    used += at + 4 + length;
+    if (control) return whole(opcode, std::move(payload));
+    parts_ += payload;
+    in_parts_ = !fin;
+    if (!fin) continue;
+    return whole(1, std::exchange(parts_, {}));
+  }
+  return std::nullopt;
+}
+
+std::optional<Message> Assembler::whole(int opcode, std::string payload) {
+  if (opcode == kOpPing) return Message{Message::Kind::ping, std::move(payload), 0};
+  if (opcode == kOpPong) return Message{Message::Kind::pong, std::move(payload), 0};
+  if (opcode == kOpClose) {
+    if (payload.empty()) return Message{Message::Kind::close, "", 0};
+    if (payload.size() < 2) return breach(kProtocolError);
+    const int code = static_cast<unsigned char>(payload[0]) << 8 | static_cast<unsigned char>(payload[1]);
+    if (!may_close_with(code)) return breach(kProtocolError);
+    if (!net::is_utf8(std::string_view(payload).substr(2))) return breach(kNotUtf8);
+    return Message{Message::Kind::close, payload.substr(2), code};
+  }
+  if (!net::is_utf8(payload)) return breach(kNotUtf8);
+  return Message{Message::Kind::text, std::move(payload), 0};
+}
+
+std::string text_frame(std::string_view payload) { return frame(1, payload); }
+std::string control_frame(int opcode, std::string_view payload) {
+  return frame(opcode, payload.substr(0, kMostControl));
+}
+std::string close_frame(int code, std::string_view reason) {
+  std::string payload{static_cast<char>(code >> 8), static_cast<char>(code)};
+  return control_frame(kOpClose, payload.append(reason));
+}
+
+}  // namespace reeltack::ws
--- /dev/null
+++ b/src/ws/front.h
@@ -0,0 +1,71 @@
+// The second front: call control over WebSocket, for clients (/calls) and for centrales (/centrales).
+//
+// Owns: the JSON messages of docs/call-control.md, which socket hears of which call, and the centrales that
+//   are registered here.
+// Must never: decide on a call, tie a call's life to a socket, or wait for a peer that does not read.
+#pragma once
+
+#include <map>
+#include <unordered_map>
+
+#include "core/core.h"
+#include "core/office_list.h"
+#include "net/door.h"
+#include "net/json.h"
+
+namespace reeltack::ws {
+
+class Connection;
+
+class Front final : public core::CallerSide, public core::OfficeSide {
+ public:
+  struct Setup {
+    std::vector<std::string> class_names;
+    std::vector<std::string> origins;
+    std::size_t connections = 128;
+  };
+  Front(core::Core& core, core::OfficeList& list, Setup setup);
+  void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
+  void close_all() { door_.close_all(); }
+  [[nodiscard]] bool owns(ServerId office);  // it is a centrale of this front
+
+  // For callers.
+  bool stands(CallId call, const std::string& description) override;
+  void refused(CallId call, core::Why why, Duration later) override;
+  void released(CallId call, int cause) override;
+
+  // For centrales. What is listed elsewhere does not concern them.
+  void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*offices*/) override {}
+  void start(const core::SetUp& set_up) override;
+  void give_up(ServerId office, CallId call, std::uint32_t attempt) override;
+  void release(ServerId office, CallId call) override;
+  void keep(ServerId /*office*/, bool /*calls_stand*/) override {}
+
+ private:
+  friend class Connection;
+  using Socket = std::shared_ptr<Connection>;
+  struct Centrale {
+    core::OfficeEntry entry;
+    std::weak_ptr<Connection> socket;
+    std::map<CallId, std::uint32_t> out;  // attempts
+    std::vector<std::string> owed;        // for the next socket
+  };
+  void from_client(const Socket& from, const net::Json& message);
+  void set_up(const Socket& from, const net::Json& message, CallId call);
+  void status(const Socket& from, CallId call);
+  void from_centrale(const Socket& from, const net::Json& message);
+  void register_centrale(const Socket& from, const net::Json& message);
+  void lost(const Socket& socket);
+  void tell(CallId call, std::string_view fields, bool last);
+  bool may_leave(const core::SetUp& set_up);
+
+  core::Core& core_;
+  core::OfficeList& list_;
+  const Setup setup_;
+  std::mutex lock_;
+  std::unordered_map<CallId, std::weak_ptr<Connection>> listening_;  // who hears of the call
+  std::map<ServerId, Centrale> centrales_;
+  net::Door door_;  // last: its connections end before what they use
+};
+
+}  // namespace reeltack::ws
