Keep the module's rates finite in its first turn without a rule on cold servers

Saw: address/undefined build of the real program stops in has_turn (policy.cpp:547), now - lapse overflows. Checked: a_second divided by 1 - exp(-ran/over) with ran = 0, where fall_span is not set; the share was then inf/inf. Ruled out: the core's clock and the office links, whose times are whole. The new test fails in the sanitizer build without the fix.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -570,7 +570,8 @@
   void count(Rate& r) const { r = {fade(r) + 1.0, now_}; }
   [[nodiscard]] double a_second(const Rate& r) const {
     const double over = std::max(seconds(set_.ramp), 1.0e-9);
-    const double ran = std::max(seconds(now_ - began_), seconds(set_.fall_span));
+    // Never nought: in the first turn, without a rule on cold servers, the rate would not be a number.
+    const double ran = std::max({seconds(now_ - began_), seconds(set_.fall_span), 0.001});
     return std::max(fade(r), kLeast / set_.gateways) / (over * (1.0 - std::exp(-ran / over)));
   }
   void note_shares() {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -247,5 +247,18 @@
   EXPECT_EQ(g.asked_for_list, 2);
 }
 
+// Found by the sanitizer in the real program: without a rule on cold servers the rates of the first turn were
+// infinite, and a turn's interval was no number.
+TEST(FirstTurn, IntervalsAreNumbersWithoutARuleOnColdServers) {
+  Settings settings = plain_settings();
+  settings.fall_span = {};
+  settings.ramp = {};
+  Gateway g(settings);
+  g.list({ready(10, 0)});
+  g.arrive(1);
+  g.pass(500ms);
+  EXPECT_TRUE(g.sent_to(1, 10));
+}
+
 }  // namespace
 }  // namespace reeltack::test
