Lift the worst-served class one level, so that classes of like worth share what is left

Checked: the queue of their level drains at 30 a second an office, oldest first; at 75 waiting an aim of 1.5 s runs out before the turn and one of 2.5 s does not. Ruled out: admission (A = tau r lets more of the longer aim in, but the shorter one starves at equal numbers too, as the new test shows). The test fails without the change (it starves one of two classes). The class goes up by one level at the most, and never above a class of twice its worth.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,6 +64,10 @@
 constexpr double kLeast =
     4.0;  // set-ups of all gateways together, taken for before any is seen; not measured
 
+// A class of which a smaller part stood than this is badly served, once so many tries were seen.
+constexpr double kPressed = 0.8;
+constexpr double kSeen = 20.0;
+
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration from_seconds(double s) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::clamp(s, 0.0, 1.0e9)));
@@ -176,7 +180,10 @@
     if (known) call.aim += part_of(told.work_hint, set_.classes[told.call_class].aim_stretch);
     call.order = ++arrivals_;
     recall_first_try(call);
-    if (!told.redial && call.first_tried >= heard_) count(first_tries_);
+    if (!told.redial && call.first_tried >= heard_) {
+      count(first_tries_);
+      if (known) count(class_tries_[told.call_class]);
+    }
     call.level = level_by_worth(call);
     note_shares();
     if (!known || found_busy_just_now(told.number)) return refuse_unqueued(told.call);
@@ -234,8 +241,29 @@
     double worth = set_.classes[call.told.call_class].worth;
     if (call.late) return kLate;
     const double halvings = std::log2(best_worth_ / std::max(worth, 1.0e-9));
-    const double level = static_cast<double>(kUrgent) + 1.0 + std::floor(std::max(halvings, 0.0) + 0.5);
-    return static_cast<std::size_t>(std::min(level, static_cast<double>(kLate - 1)));
+    double level = static_cast<double>(kUrgent) + 1.0 + std::floor(std::max(halvings, 0.0) + 0.5);
+    if (call.told.call_class == worst_served()) level -= 1.0;
+    return static_cast<std::size_t>(
+        std::clamp(level, static_cast<double>(kUrgent), static_cast<double>(kLate - 1)));
+  }
+
+  // EXCEPTION (classes of like worth): the class of which the least part stood of late goes one level up, for
+  // the aims differ, and in a long queue those with the shortest would never be in time.
+  [[nodiscard]] std::uint32_t worst_served() const {
+    std::uint32_t worst = ~0U;
+    double least = kPressed;
+    std::size_t seen = 0;
+    for (const auto& [id, tries] : class_tries_) {
+      const double tried = fade(tries);
+      if (tried < kSeen) continue;
+      ++seen;
+      const auto stood = class_stood_.find(id);
+      const double part = (stood == class_stood_.end() ? 0.0 : fade(stood->second)) / tried;
+      if (part >= least) continue;
+      least = part;
+      worst = id;
+    }
+    return seen > 1 ? worst : ~0U;
   }
 
   // EXCEPTION (redials): the aim runs from the caller's first try. A number that was turned away here and is
@@ -593,6 +621,8 @@
       answered(*s, ours_off(*s, stands.elapsed));
     }
     count(stood_);
+    const auto call = calls_.find(stands.call);
+    if (call != calls_.end()) count(class_stood_[call->second.told.call_class]);
     calls_.erase(stands.call);
   }
 
@@ -918,6 +948,8 @@
   Time began_{};
   Rate first_tries_;
   Rate stood_;
+  std::map<std::uint32_t, Rate> class_tries_;
+  std::map<std::uint32_t, Rate> class_stood_;
   double tokens_ = 0.0;
   Time tokens_counted_{};
   bool asked_ = false;
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -273,5 +273,25 @@
   EXPECT_EQ(g.sends.back().call, CallId{200});
 }
 
+// Found on the same day: of two classes of like worth, the one with the shorter aim was hardly served at all.
+TEST(LongQueue, DoesNotStarveTheClassOfLikeWorthThatIsServedWorst) {
+  Settings settings = plain_settings();
+  settings.classes = {{.aim = 2500ms, .deadline = 9s, .worth = 1.0},
+                      {.aim = 1500ms, .deadline = 9s, .worth = 1.0}};
+  Gateway g(settings);
+  g.list({ready(10, 0)});
+  std::map<std::uint32_t, int> stood;
+  for (std::uint64_t id = 1; id < 1200; ++id) {  // each of the two offers more than the server's 20 a second
+    g.arrive(id, static_cast<std::uint32_t>(id % 2));
+    g.pass(20ms);
+    const CallId out = g.sends.back().call;
+    if (id % 3 != 0 || !g.book()[out].out) continue;
+    ++stood[static_cast<std::uint32_t>(static_cast<std::uint64_t>(out) % 2)];
+    g.stands(static_cast<std::uint64_t>(out));
+  }
+  EXPECT_GT(stood[1], stood[0] / 2);
+  EXPECT_GT(stood[0], stood[1] / 2);
+}
+
 }  // namespace
 }  // namespace reeltack::test
