Hold callers to their share of descriptors, and let a front end its own calls only

Guards: accepting stops at the limit instead of going beyond it, and waits when no descriptor can be had, where it would have spun; a client of one front can no longer end a call of the other.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -103,8 +103,9 @@
 
   // For fronts, from any thread.
   void request(Request request);
-  void give_up(CallId call);                                         // the caller waits no longer
-  void release(CallId call);                                         // the caller ends a call that stands
+  // A front may end its own calls only.
+  void give_up(CallId call, const CallerSide& side);                 // the caller waits no longer
+  void release(CallId call, const CallerSide& side);                 // the caller ends a call that stands
   void ask(CallId call, std::function<void(const Status&)> answer);  // answered on the core's thread
 
   void at(Time time, std::function<void()> task);  // runs it on the core's thread, then or soon after
@@ -164,8 +165,8 @@
   // relay
   void relay_answer(ServerId office, CallId call, std::string description);
   void relay_end(const Outcome& outcome);
-  void relay_release(CallId call);
-  void relay_give_up(CallId call);
+  void relay_release(CallId call, const CallerSide& side);
+  void relay_give_up(CallId call, const CallerSide& side);
   // book
   Record* find(CallId call);
   void tell_ended(const Record& record, const Attempt& attempt, Ending ending, bool call_over,
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -69,19 +69,20 @@
   tell_ended(*r, attempt, ending_of(outcome.cause), false, &outcome);
 }
 
-void Core::relay_release(CallId call) {
+void Core::relay_release(CallId call, const CallerSide& side) {
   Record* r = find(call);
-  if (r == nullptr) return;
-  if (r->phase == Phase::open) return relay_give_up(call);  // it crossed our answer, or came too early
+  if (r == nullptr || r->request.side != &side) return;
+  if (r->phase == Phase::open) return relay_give_up(call, side);  // it crossed our answer, or came too early
   if (r->phase != Phase::stands) return;
   offices_->release(r->stands_at, call);
   tell_ended(*r, {r->attempts - 1, r->stands_at, now_}, Ending::cancelled, true);
   close(*r);
 }
 
-void Core::relay_give_up(CallId call) {
+void Core::relay_give_up(CallId call, const CallerSide& side) {
   Record* r = find(call);
-  if (r == nullptr || r->phase != Phase::open) return;  // answered already: that answer stays the only one
+  if (r == nullptr || r->phase != Phase::open || r->request.side != &side)
+    return;  // answered already: that answer stays the only one
   events_.emplace_back(CallerLeft{call});
   abandon(*r, Ending::cancelled, true);
   finish(*r, Phase::given_up, Why::given_up, {});
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -35,11 +35,11 @@
   ++open_;  // from here on it is owed an answer, and the program may not end
   post([this, r = std::move(request)]() mutable { admit(std::move(r)); });
 }
-void Core::give_up(CallId call) {
-  post([this, call] { relay_give_up(call); });
+void Core::give_up(CallId call, const CallerSide& side) {
+  post([this, call, &side] { relay_give_up(call, side); });
 }
-void Core::release(CallId call) {
-  post([this, call] { relay_release(call); });
+void Core::release(CallId call, const CallerSide& side) {
+  post([this, call, &side] { relay_release(call, side); });
 }
 void Core::ask(CallId call, std::function<void(const Status&)> answer) {
   post([this, call, answer = std::move(answer)] {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,10 +35,7 @@
   net::log_line("asked to end: answering what was taken");
   const Time until = net::now() + kStillTaking;
   // A step is short, so that the end follows soon after the last answer.
-  while (net::now() < until || core.open_calls() > 0) {
-    timespec step{0, 10'000'000};
-    ::nanosleep(&step, nullptr);
-  }
+  while (net::now() < until || core.open_calls() > 0) net::pause_until(net::now() + 10ms);
 }
 
 int run(int argc, char** argv) {
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -1,8 +1,16 @@
 #include "net/door.h"
 
+#include <cerrno>
 #include <stdexcept>
 
 namespace reeltack::net {
+namespace {
+
+constexpr Duration kLook = std::chrono::milliseconds(5);
+// Those over the limit that may wait while idle ones are asked to end.
+constexpr std::size_t kOverflow = 32;
+
+}  // namespace
 
 void Peer::begin() {
   const auto self = shared_from_this();  // alive until both threads are done
@@ -72,9 +80,16 @@
 void Door::accept_loop() {
   while (accepting_) {
     // The wait is cut into short parts, so that the end of accepting is noticed.
-    Fd fd = accept_one(listener_, now() + std::chrono::milliseconds(50));
-    reap();
-    if (!fd) continue;
+    const Time look_again = now() + kLook;
+    if (!reap()) {  // those that wait stay in the listener's queue
+      pause_until(look_again);
+      continue;
+    }
+    Fd fd = accept_one(listener_, now() + 10 * kLook);
+    if (!fd) {
+      if (errno == EMFILE || errno == ENFILE) pause_until(look_again);  // would come back at once, in vain
+      continue;
+    }
     const std::shared_ptr<Peer> peer = make_(std::move(fd));
     try {
       peer->begin();
@@ -93,7 +108,8 @@
 }
 
 // Ends what is over. At the limit, the oldest connections that carry no set-up make room.
-void Door::reap() {
+bool Door::reap() {
+  bool place = true;
   std::list<std::shared_ptr<Peer>> over;
   {
     const std::lock_guard hold(lock_);
@@ -108,8 +124,10 @@
       }
       at = next;
     }
+    place = peers_.size() < most_ + kOverflow;
   }
   for (const auto& p : over) p->join();
+  return place;
 }
 
 bool Door::push_to_any(const std::string& bytes) {
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -67,7 +67,8 @@
 
  private:
   void accept_loop();
-  void reap();
+  // False while there is no place for one more, or no descriptor.
+  bool reap();
   const std::size_t most_;
   const Make make_;
   const Joined joined_;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -155,6 +155,13 @@
   return fd;
 }
 
+void pause_until(Time at) {
+  while (now() < at) {
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(at - now()).count();
+    ::poll(nullptr, 0, static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000)));
+  }
+}
+
 bool write_all(const Fd& to, std::string_view bytes) {
   while (!bytes.empty()) {
     const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -70,6 +70,7 @@
 Dialled dial(const Address& to, Time deadline);
 Fd listen_on(const Address& at);                       // throws std::runtime_error
 bool write_all(const Fd& to, std::string_view bytes);  // blocks; false: the connection is over
+void pause_until(Time at);
 Fd accept_one(const Fd& listener, Time deadline);
 
 enum class Got { data, closed, late };
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -142,7 +142,7 @@
     }
   }
   void left(const std::set<CallId>& open) override {
-    for (const CallId call : open) front_.core_.give_up(call);  // nobody is left to answer
+    for (const CallId call : open) front_.core_.give_up(call, front_);  // nobody is left to answer
   }
 
  private:
@@ -175,12 +175,12 @@
   if (message.method == "INVITE") return take_invite(from, message, CallId{*call}), true;
   if (message.method == "CANCEL") {
     from->push(answer(200, "OK", message.echoed()));
-    core_.give_up(CallId{*call});
+    core_.give_up(CallId{*call}, *this);
     return true;
   }
   if (message.method == "BYE") {
     from->push(answer(200, "OK", message.echoed()));
-    core_.release(CallId{*call});
+    core_.release(CallId{*call}, *this);
     return true;
   }
   return from->push(answer(501, "Not Implemented", message.echoed()));
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -154,8 +154,8 @@
     return;
   }
   if (type == "set-up") return set_up(from, message, CallId{*call});
-  if (type == "give-up") return core_.give_up(CallId{*call});
-  if (type == "release") return core_.release(CallId{*call});
+  if (type == "give-up") return core_.give_up(CallId{*call}, *this);
+  if (type == "release") return core_.release(CallId{*call}, *this);
   if (type == "status") return status(from, CallId{*call});
   from->tell(error("unknown-type", id));
 }
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -147,6 +147,27 @@
   )");
 }
 
+// Callers may hold a third of the descriptors: all are served, within the limits of a scored day.
+TEST_F(Platform, ThirdOfTheDescriptorsFitsTheLimits) {
+  start();
+  play(kBothUp);
+  std::vector<StandIn> callers;
+  for (int i = 0; i < 341; ++i) {
+    callers.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
+    callers.back().send("OPTIONS 0000000000000001");
+  }
+  for (StandIn& caller : callers) ASSERT_EQ(caller.next().rfind("SIP/2.0 200", 0), 0U);
+  std::ifstream status("/proc/" + std::to_string(child_) + "/status");
+  std::map<std::string, long> told;
+  for (std::string key, line; status >> key && std::getline(status, line);)
+    told[key] = std::atol(line.c_str());
+  EXPECT_LT(told["FDSize:"], 1025);
+  EXPECT_GT(told["Threads:"], 682);
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+  EXPECT_LT(told["VmRSS:"], 64 * 1024);
+#endif
+}
+
 // Its calls outlive a controller; the office tells the next one, which must tell the caller.
 TEST_F(Platform, ReleaseOfACallFromBeforeTheStartReachesTheCaller) {
   start();
