--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -55,7 +55,7 @@
   }
   [[nodiscard]] std::optional<net::Address> address(const std::string& key) const {
     if (find(key) == nullptr) return std::nullopt;
-    const auto out = net::parse_address(text(key));
+    auto out = net::parse_address(text(key));
     if (!out) fail(key, "must be an address as 127.0.0.1:2905, not '" + text(key) + "'");
     return out;
   }
@@ -82,7 +82,8 @@
     out += key + "=" + value + "\n";
   };
   if (const auto* fields = json.object()) {
-    for (const auto& [key, value] : *fields) flatten(value, path.empty() ? key : path + "." + key, out);
+    for (const auto& [key, value] : *fields)
+      flatten(value, path.empty() ? key : std::string(path).append(".").append(key), out);
   } else if (const auto* items = json.array()) {
     std::string joined;
     bool plain = true;
--- a/src/dns/zone.cpp
+++ b/src/dns/zone.cpp
@@ -399,7 +399,13 @@
     for (const auto& [word, number] : types()) {
       if (number != type) continue;
       for (const std::string& data : set.data)
-        out += name + " " + std::to_string(set.ttl) + " IN " + word + " " + data_text(type, data) + "\n";
+        out.append(name)
+            .append(" ")
+            .append(std::to_string(set.ttl))
+            .append(" IN ")
+            .append(word)
+            .append(" ")
+            .append(data_text(type, data) + "\n");
     }
   };
   line(origin_, kSoa, names_.at(origin_).at(kSoa));  // the SOA comes first
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -22,9 +22,9 @@
 namespace {
 
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr std::size_t kStack = 1024U * 1024U;
+constexpr std::size_t kStack = std::size_t{1024} * 1024;
 #else
-constexpr std::size_t kStack = 128U * 1024U;
+constexpr std::size_t kStack = std::size_t{128} * 1024;
 #endif
 
 // Waits until the descriptor is ready; false at the deadline.
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -22,7 +22,7 @@
 
 Time now();  // the Unix clock
 inline constexpr Time kNever = Time::max();
-inline constexpr std::size_t kMostMessage = 16U * 1024U;
+inline constexpr std::size_t kMostMessage = std::size_t{16} * 1024;
 
 class Fd {
  public:
@@ -102,7 +102,7 @@
   [[nodiscard]] bool behind() const;  // something is still unwritten
 
  private:
-  static constexpr std::size_t kMostQueued = 256U * 1024U;
+  static constexpr std::size_t kMostQueued = std::size_t{256} * 1024;
   struct Item {
     std::string bytes;
     std::uint64_t tag = 0;
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -276,7 +276,9 @@
       centrale.entry.entry.state = type == "drain" ? ServerState::draining : ServerState::gone;
       entry = centrale.entry;
     }
-    return list_.told(core::Source::registered, false, {entry});
+    list_.told(core::Source::registered, false, {entry});
+    from->tell(type == "drain" ? R"({"type":"draining"})" : R"({"type":"left"})");
+    return;
   }
   const std::string id = text_of(message, "call");
   const auto call = net::parse_hex16(id);
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -420,6 +420,77 @@
   )");
 }
 
+// No socket owns a standing call, a centrale's no more than a client's.
+TEST_F(WebSocket, CentraleThatComesBackKeepsItsCalls) {
+  start(false);
+  play(kCentraleUp);
+  play(kTaken);
+  play(R"(
+    z send {"type":"started","call":"#1","description":"by z"}
+    w expect #1 answer stands
+    z close
+    y open centrales
+    y send {"type":"register","centrale":"s-0000000c"}
+    y expect registered
+    y send {"type":"ended","call":"#1","cause":16}
+    w expect #1 released 16
+  )");
+}
+
+TEST_F(WebSocket, CentraleThatStaysAwayHasItsCallsCut) {
+  start(false);
+  play(kCentraleUp);
+  play(kTaken);
+  play(R"(
+    z send {"type":"started","call":"#1","description":"by z"}
+    w expect #1 answer stands
+    z close
+    w expect #1 released 41
+  )");
+}
+
+// The client is away when the deadline passes: the one answer is kept for it.
+TEST_F(WebSocket, DeadlineOfADroppedClientIsKeptForIt) {
+  start(false);
+  play(kCentraleUp);
+  play(R"(
+    w open calls
+    w send {"type":"set-up","call":"#1","class":"voice","number":"00000000000000aa","patience_ms":300,"description":"d"}
+    w expect taken #1
+    w close
+    z expect set-up #1
+    z expect give-up #1
+    z send {"type":"started","call":"#1","description":"too late"}
+    z expect release #1
+    v open calls
+    v send {"type":"status","call":"#1"}
+    v expect status #1 failed deadline-passed
+  )");
+}
+
+// A drained centrale gets nothing new, but its call goes on.
+TEST_F(WebSocket, DrainedCentraleGetsNothingNew) {
+  start(false);
+  play(kCentraleUp);
+  play(kTaken);
+  play(R"(
+    z send {"type":"started","call":"#1","description":"by z"}
+    w expect #1 answer stands
+    z send {"type":"drain"}
+    z expect draining
+    y open centrales
+    y send {"type":"register","centrale":"s-0000000d"}
+    y expect registered
+    y send {"type":"register","centrale":"s-0000000c"}
+    y expect duplicate-id
+    w send {"type":"set-up","call":"#2","class":"voice","number":"00000000000000aa","patience_ms":3000,"description":"d"}
+    w expect taken #2
+    y expect set-up #2
+    z send {"type":"ended","call":"#1","cause":16}
+    w expect #1 released 16
+  )");
+}
+
 // Both fronts, counted: one final answer a call, and never two attempts of a call out at once.
 TEST_F(WebSocket, MixedTrafficKeepsTheRules) {
   start();
