--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -16,9 +16,7 @@
 constexpr std::uint16_t kAnyClass = 255;
 
 std::uint32_t get(std::string_view data, std::size_t at, std::size_t bytes) {
-  std::uint32_t out = 0;
-  for (std::size_t i = 0; i < bytes; ++i) out = out << 8U | static_cast<unsigned char>(data[at + i]);
-  return out;
+  return static_cast<std::uint32_t>(net::big_endian(data, at, bytes));
 }
 // Types that only a question may name (AXFR, MAILB, MAILA; ANY is treated apart).
 bool question_only(std::uint16_t type) { return type >= 252 && type <= 254; }
--- a/src/dns/zone.cpp
+++ b/src/dns/zone.cpp
@@ -17,9 +17,7 @@
   put16(out, v);
 }
 std::uint32_t get(std::string_view data, std::size_t at, std::size_t bytes) {
-  std::uint32_t out = 0;
-  for (std::size_t i = 0; i < bytes; ++i) out = out << 8U | static_cast<unsigned char>(data[at + i]);
-  return out;
+  return static_cast<std::uint32_t>(net::big_endian(data, at, bytes));
 }
 std::optional<std::uint64_t> whole(std::string_view text, std::uint64_t most) {
   std::uint64_t out = 0;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -249,6 +249,11 @@
   return busy_ || !items_.empty();
 }
 
+std::uint64_t big_endian(std::string_view data, std::size_t at, std::size_t bytes) {
+  std::uint64_t out = 0;
+  for (std::size_t i = 0; i < bytes; ++i) out = out << 8U | static_cast<unsigned char>(data[at + i]);
+  return out;
+}
 std::string hex16(std::uint64_t value) {
   char text[17];
   std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -117,6 +117,7 @@
   bool closed_ = false;
 };
 
+std::uint64_t big_endian(std::string_view data, std::size_t at, std::size_t bytes);  // unsigned, to 8 bytes
 std::string hex16(std::uint64_t value);
 std::optional<std::uint64_t> parse_hex16(std::string_view text);  // 16 lower-case digits
 std::string office_name(ServerId id);                             // s-XXXXXXXX
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -12,23 +12,18 @@
 constexpr Duration kDialLimit = 500ms;
 constexpr Duration kAgain = 150ms;
 
-std::uint64_t number(std::string_view text, std::size_t at, std::size_t bytes) {
-  std::uint64_t out = 0;
-  for (std::size_t i = 0; i < bytes; ++i) out = out << 8U | static_cast<unsigned char>(text[at + i]);
-  return out;
-}
-
 core::OfficeEntry read_record(std::string_view r) {
   core::OfficeEntry out;
-  out.entry.server = ServerId{static_cast<std::uint32_t>(number(r, 0, 4))};
-  for (std::size_t i = 4; i < 8; ++i) out.address += (i > 4 ? "." : "") + std::to_string(number(r, i, 1));
-  out.address += ":" + std::to_string(number(r, 8, 2));
-  const std::uint64_t state = number(r, 10, 1);
+  out.entry.server = ServerId{static_cast<std::uint32_t>(net::big_endian(r, 0, 4))};
+  for (std::size_t i = 4; i < 8; ++i)
+    out.address += (i > 4 ? "." : "") + std::to_string(net::big_endian(r, i, 1));
+  out.address += ":" + std::to_string(net::big_endian(r, 8, 2));
+  const std::uint64_t state = net::big_endian(r, 10, 1);
   if (state > 2) throw std::runtime_error("a state that the protocol does not name");
   out.entry.state = state == 0 ? ServerState::ready : state == 1 ? ServerState::draining : ServerState::gone;
-  out.entry.place = static_cast<std::uint32_t>(number(r, 13, 2));
-  out.entry.capacity = static_cast<double>(number(r, 15, 4)) / 1000.0;
-  out.entry.started_at = Time{std::chrono::milliseconds(number(r, 19, 8) & 0xffffffffffffULL)};
+  out.entry.place = static_cast<std::uint32_t>(net::big_endian(r, 13, 2));
+  out.entry.capacity = static_cast<double>(net::big_endian(r, 15, 4)) / 1000.0;
+  out.entry.started_at = Time{std::chrono::milliseconds(net::big_endian(r, 19, 8) & 0xffffffffffffULL)};
   return out;
 }
 
@@ -37,13 +32,13 @@
 std::optional<Frame> parse_frame(std::string_view text, std::size_t& used) {
   used = 0;
   if (text.size() < 4) return std::nullopt;
-  const std::uint64_t length = number(text, 0, 4);
+  const std::uint64_t length = net::big_endian(text, 0, 4);
   if (length < 9 || length > net::kMostMessage)
     throw std::runtime_error("a frame of " + std::to_string(length) + " bytes");
   if (text.size() < 4 + length) return std::nullopt;
   Frame out;
-  out.number = number(text, 4, 8);
-  out.kind = static_cast<int>(number(text, 12, 1));
+  out.number = net::big_endian(text, 4, 8);
+  out.kind = static_cast<int>(net::big_endian(text, 12, 1));
   const std::string_view payload = text.substr(13, length - 9);
   if (out.kind > 2 || payload.size() % kRecord != 0 || (out.kind == 0 && !payload.empty()))
     throw std::runtime_error("a malformed frame");
