Reload on SIGHUP, and take no set-up that means nothing or borrows an open call's id

Offices do not see X-Facts, so only the controller can refuse these. Ruled out: malformed SIP, lengths and patience were refused already. Wrong: main.cpp blocked SIGTERM and SIGINT alone; sip.cpp take_invite left out figures that it could not read and moved the answer of an open call to whoever named its id; bulletin.cpp took events at or below its last number again and counted its silence from the last byte. The description of an INVITE must be UTF-8 now: an office would close on its other set-ups too.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -187,6 +187,7 @@
   if (settings == nullptr || settings->object() == nullptr) top.fail("settings", "must be an object");
   std::string lines;
   flatten(*settings, "", lines);
+  out.settings_text = lines;
   try {
     out.settings = wire::parse_settings(lines).settings;
   } catch (const wire::SettingsError& error) {
@@ -239,6 +240,17 @@
   return out;
 }
 
+std::vector<std::string> changed_but_kept(const Node& running, const Node& read) {
+  const auto text = [](const std::optional<net::Address>& a) { return a ? net::to_text(*a) : std::string(); };
+  std::vector<std::string> out;
+  if (running.name != read.name) out.emplace_back("name");
+  if (text(running.listen) != text(read.listen)) out.emplace_back("listen");
+  if (running.limits.memory_mb != read.limits.memory_mb || running.limits.sockets != read.limits.sockets)
+    out.emplace_back("limits");
+  if (running.settings_text != read.settings_text) out.emplace_back("settings");
+  return out;
+}
+
 Node node_from_environment() {
   const char* path = std::getenv("PROXY_CONFIG");
   if (path == nullptr) throw ConfigError("PROXY_CONFIG: is missing from the environment");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -37,6 +37,7 @@
   std::uint64_t known_no = 0;
   std::vector<core::OfficeEntry> known;  // the list after all events of the start
   Settings settings;
+  std::string settings_text;  // as read, to tell whether it has changed
   std::vector<std::string> class_names;
   Duration dial_limit = std::chrono::milliseconds(500);
 };
@@ -56,6 +57,9 @@
 Node read_node(const net::Json& json, const std::string& source);
 Fronts read_fronts(const net::Json& json, const std::string& source);
 
+// The keys that differ and that a running program does not take anew.
+std::vector<std::string> changed_but_kept(const Node& running, const Node& read);
+
 // From PROXY_CONFIG, with PROXY_NAME and PROXY_LISTEN before the file's own words.
 Node node_from_environment();
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,13 +1,14 @@
 // The session controller as one process: wires configuration, core, fronts and offices together.
 //
-// Owns: the order of start and end, and the process's own limits.
-// Must never: decide on a call, or end while a request that was taken has no answer.
+// Owns: the order of start and end, the signals, and the process's own limits.
+// Must never: decide on a call, end while a request that was taken has no answer, or end on SIGHUP.
 #include <malloc.h>
 #include <sys/resource.h>
 
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <functional>
 
 #include "config/config.h"
 #include "core/office_list.h"
@@ -25,13 +26,43 @@
 // After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more.
 constexpr Duration kStillTaking = 750ms;
 
-void wait_for_end(const core::Core& core) {
-  sigset_t ends;
-  sigemptyset(&ends);
-  sigaddset(&ends, SIGTERM);
-  sigaddset(&ends, SIGINT);
-  int which = 0;
-  sigwait(&ends, &which);
+sigset_t signals() {
+  sigset_t out;
+  sigemptyset(&out);
+  for (const int which : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&out, which);
+  return out;
+}
+
+// The file was replaced. What cannot be read changes nothing; what only a start can take is said so.
+void reload(config::Node& node, std::optional<platform::Bulletin>& bulletin, core::OfficeList& list) {
+  try {
+    const config::Node fresh = config::node_from_environment();
+    for (const std::string& key : config::changed_but_kept(node, fresh))
+      net::log_line("reload: " + key + " has changed and is taken at the next start only");
+    if (!fresh.bulletin) {
+      net::log_line("reload: bulletin is missing; the old one stays");
+      return;
+    }
+    node.bulletin = fresh.bulletin;
+    if (bulletin) {
+      bulletin->move_to(*fresh.bulletin);
+    } else {
+      bulletin.emplace(list, *fresh.bulletin, node.known_no);
+    }
+    net::log_line("reload: bulletin is " + net::to_text(*fresh.bulletin));
+  } catch (const std::exception& error) {
+    net::log_line(std::string("reload: ") + error.what() + "; the old settings stay");
+  }
+}
+
+void wait_for_end(const core::Core& core, const std::function<void()>& reload_now) {
+  const sigset_t awaited = signals();
+  int which = SIGHUP;
+  for (;;) {
+    if (sigwait(&awaited, &which) != 0) continue;
+    if (which != SIGHUP) break;
+    reload_now();
+  }
   net::log_line("asked to end: answering what was taken");
   const Time until = net::now() + kStillTaking;
   // A step is short, so that the end follows soon after the last answer.
@@ -41,7 +72,7 @@
 int run(int argc, char** argv) {
   config::Fronts fronts;
   if (argc > 1) fronts = config::read_fronts(config::read_json(argv[1]), argv[1]);
-  const config::Node node = config::node_from_environment();
+  config::Node node = config::node_from_environment();
 
   // Callers may hold a third of the descriptors; a few more places let new ones in while old ones end.
   const std::size_t callers = node.limits.sockets * 45 / 100;
@@ -70,7 +101,7 @@
   if (node.listen) sip.open(*node.listen);
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
-  wait_for_end(core);
+  wait_for_end(core, [&] { reload(node, bulletin, list); });
   sip.close_all();
   websocket.close_all();
   if (zone) zone->close_all();
@@ -91,11 +122,8 @@
   ::mallopt(M_ARENA_MAX, 2);
   std::signal(SIGPIPE, SIG_IGN);
   // Blocked in every thread, so that the one that waits for them takes them.
-  sigset_t ends;
-  sigemptyset(&ends);
-  sigaddset(&ends, SIGTERM);
-  sigaddset(&ends, SIGINT);
-  ::pthread_sigmask(SIG_BLOCK, &ends, nullptr);
+  const sigset_t awaited = signals();
+  ::pthread_sigmask(SIG_BLOCK, &awaited, nullptr);
   try {
     return run(argc, argv);
   } catch (const std::exception& error) {
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -8,7 +8,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kRecord = 27;
-constexpr Duration kSilence = 2500ms;  // a frame comes each second; without one the connection is dead
+// A whole frame comes each second; without one for so long the connection is dead, whatever trickles in. What
+// it would have told counts as told 4 s after it stopped, so that a new one must be up well before.
+constexpr Duration kSilence = 1800ms;
 constexpr Duration kDialLimit = 500ms;
 constexpr Duration kAgain = 150ms;
 
@@ -49,7 +51,7 @@
 }
 
 Bulletin::Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last)
-    : list_(list), at_(std::move(at)), last_(last), thread_([this] { run(); }) {}
+    : list_(list), last_(last), at_(std::move(at)), thread_([this] { run(); }) {}
 
 Bulletin::~Bulletin() {
   {
@@ -61,19 +63,36 @@
   thread_.join();
 }
 
+void Bulletin::move_to(const net::Address& at) {
+  const std::lock_guard hold(lock_);
+  if (net::to_text(at) == net::to_text(at_)) return;
+  at_ = at;
+  moved_ = true;
+  fd_.shut();
+  changed_.notify_all();
+}
+
 void Bulletin::run() {
   for (;;) {
-    net::Dialled dialled = net::dial(at_, net::now() + kDialLimit);
+    net::Address to;
+    {
+      const std::lock_guard hold(lock_);
+      if (stopping_) return;
+      moved_ = false;
+      to = at_;
+    }
+    net::Dialled dialled = net::dial(to, net::now() + kDialLimit);
     {
       const std::lock_guard hold(lock_);
       if (stopping_) return;
+      if (moved_) continue;  // while it was dialled: the old one must not be followed
       fd_ = std::move(dialled.fd);
     }
     if (dialled.how == net::Dial::up) follow(fd_);
     std::unique_lock hold(lock_);
     fd_.reset();
-    if (changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain, [this] { return stopping_; }))
-      return;
+    changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain,
+                        [this] { return stopping_ || moved_; });
   }
 }
 
@@ -83,17 +102,20 @@
     greeting += static_cast<char>(last_ >> static_cast<unsigned>(shift));
   if (!net::write_all(fd, greeting)) return;
   net::Buffer buffer;
+  Time silent = net::now() + kSilence;
   try {
     for (;;) {
       std::size_t used = 0;
       std::optional<Frame> frame = parse_frame(buffer.view(), used);
       if (!frame) {
-        if (buffer.fill(fd, net::now() + kSilence) != net::Got::data) return;
+        if (buffer.fill(fd, silent) != net::Got::data) return;
         continue;
       }
       buffer.take(used);
-      if (frame->kind == 0) continue;
-      last_ = std::max(last_, frame->number);
+      silent = net::now() + kSilence;
+      // An event told twice must not undo what has come since.
+      if (frame->kind == 0 || frame->number <= last_) continue;
+      last_ = frame->number;
       list_.told(core::Source::platform, frame->kind == 1, std::move(frame->offices));
     }
   } catch (const std::runtime_error& error) {
--- a/src/platform/bulletin.h
+++ b/src/platform/bulletin.h
@@ -1,7 +1,7 @@
 // The bulletin: the platform's list of offices, as frames over TCP.
 //
 // Owns: the subscription, resumed after the last event that was taken.
-// Must never: skip an event, or wait for ever on a connection that has gone silent.
+// Must never: skip an event, take one twice, or wait for ever on a connection that has gone silent.
 #pragma once
 
 #include <atomic>
@@ -22,14 +22,17 @@
  public:
   Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last);
   ~Bulletin();
+  // The platform has moved it: the old connection ends, and the new one resumes after the last event taken.
+  void move_to(const net::Address& at);
 
  private:
   void run();
   void follow(const net::Fd& fd);
   core::OfficeList& list_;
-  const net::Address at_;
-  std::uint64_t last_;
-  std::mutex lock_;
+  std::uint64_t last_;  // of its own thread
+  std::mutex lock_;     // guards what follows
+  net::Address at_;
+  bool moved_ = false;
   std::condition_variable changed_;
   bool stopping_ = false;
   net::Fd fd_;
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -15,6 +15,9 @@
 // A connection without an open set-up is closed after so long; callers close theirs after 4 s.
 constexpr Duration kIdle = 12s;
 
+constexpr std::int64_t kMostFigure = 65535;  // places are 16-bit numbers in the bulletin
+constexpr std::int64_t kWidest = 255;        // circuits of one call
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -35,6 +38,24 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// The figures of a set-up, none of which an office would check: whole numbers within what they can mean.
+bool read_facts(std::string_view text, CallArrived& told) {
+  while (!text.empty()) {
+    const std::string_view one = text.substr(0, text.find(';'));
+    text.remove_prefix(std::min(one.size() + 1, text.size()));
+    const std::size_t colon = one.find(':');
+    if (colon == std::string_view::npos || colon == 0) return false;
+    const std::string_view name = one.substr(0, colon);
+    const auto value = whole_number(one.substr(colon + 1));
+    if (!value || *value < -1 || *value > kMostFigure) return false;
+    if (*value < 0 && name != "via") return false;
+    if (name == "dest") told.destination = static_cast<std::uint32_t>(*value);
+    if (name == "width" && (*value < 1 || *value > kWidest)) return false;
+    if (name == "again") told.cut_before = *value != 0;
+  }
+  return true;
+}
+
 bool first_line(std::string_view line, SipMessage& out) {
   const std::size_t one = line.find(' ');
   const std::size_t two = one == std::string_view::npos ? one : line.find(' ', one + 1);
@@ -205,25 +226,41 @@
   told.caller_leaves = net::now() + std::chrono::milliseconds(*ms);
   const std::string* subject = message.header("Subject");
   const auto name = std::find(class_names_.begin(), class_names_.end(), subject == nullptr ? "" : *subject);
-  request.class_known = name != class_names_.end();
+  if (name == class_names_.end()) {  // said here: what anybody can send at full speed must not cost the core
+    from->push(answer(488, "Not Acceptable Here", message.echoed()));
+    return;
+  }
   told.call_class = static_cast<std::uint32_t>(name - class_names_.begin());
-  if (const std::string* facts = message.header("X-Facts")) {
-    net::each_figure(*facts, [&told](std::string_view fact, double value) {
-      if (fact == "dest" && value >= 0.0 && value < 1.0e6)
-        told.destination = static_cast<std::uint32_t>(value);
-      if (fact == "again") told.cut_before = value != 0.0;
-    });
+  if (const std::string* facts = message.header("X-Facts"); facts != nullptr && !read_facts(*facts, told)) {
+    from->push(answer(400, "Bad Request", message.echoed()));
+    return;
+  }
+  // An office reads JSON lines: on a description that is no UTF-8 it would close on its other set-ups too.
+  if (!net::is_utf8(message.body)) {
+    from->push(answer(400, "Bad Request", message.echoed()));
+    return;
   }
   request.description = message.body;
   request.side = this;
   {
     const std::lock_guard hold(lock_);
-    const auto [place, fresh] = dialogues_.try_emplace(call, Dialogue{from, message.echoed(), message.uri});
-    if (!fresh) {
+    const auto [place, fresh] = dialogues_.try_emplace(call);
+    Dialogue& d = place->second;
+    if (fresh) {
+      d.connection = from;
+      d.echoed = message.echoed();
+      d.uri = message.uri;
+      d.subject = *subject;
+      d.description = message.body;
+    } else if (d.answered || d.uri != message.uri || d.subject != *subject || d.description != message.body) {
+      // Another set-up under the id of an open call: it must get neither that call's answer nor its place.
+      from->push(answer(482, "Loop Detected", message.echoed()));
+      return;
+    } else {
       // The same set-up once more: it crossed a close of ours, and its answer is owed here now.
-      if (place->second.answered || place->second.connection.lock() == from) return;
-      place->second.connection = from;
-      place->second.echoed = message.echoed();
+      if (d.connection.lock() == from) return;
+      d.connection = from;
+      d.echoed = message.echoed();
       from->opened(call);
       return;
     }
@@ -238,6 +275,7 @@
   if (found == dialogues_.end()) return false;
   Dialogue& d = found->second;
   d.answered = true;
+  d.description = {};
   const auto connection = d.connection.lock();
   if (connection) connection->closed(call);
   if (connection && connection->push(answer(200, "OK", d.echoed, "", description))) return true;
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -44,6 +44,8 @@
     std::weak_ptr<SipConnection> connection;
     std::string echoed;
     std::string uri;
+    std::string subject;
+    std::string description;  // until the answer: a repeat must carry the same
     bool answered = false;
   };
   void joined(net::Peer& connection);
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -145,9 +145,7 @@
     if (child_ > 0) stop();
   }
 
-  // `offices`: the known list holds a and b. Waits for the program's word that it is up.
-  void start(bool offices = true, const std::string& zone = "{\"on\":false}", int bulletin = 0) {
-    ::mkdir(dir().c_str(), 0700);
+  void configure(bool offices, int bulletin) const {
     std::ofstream(dir() + "/config.json")
         << R"({"name":"t","listen":")" << host(0) << R"(:5000",)"
         << (bulletin > 0 ? "\"bulletin\":\"" + host(0) + ":" + std::to_string(bulletin) + "\"," : "")
@@ -157,6 +155,11 @@
             {"Name":"urgent","GoalTimeNs":2000000000,"DeadlineNs":9000000000,"Points":3.0,"LateValue":0.25}],
           "Domain":{"ReleaseGuardNs":300000000},"TickNs":5000000,
           "PolicyLimits":{"AttemptsCap":5,"Cancel":true,"DialTimeoutNs":500000000}}})";
+  }
+  // `offices`: the known list holds a and b. Waits for the program's word that it is up.
+  void start(bool offices = true, const std::string& zone = "{\"on\":false}", int bulletin = 0) {
+    ::mkdir(dir().c_str(), 0700);
+    configure(offices, bulletin);
     std::ofstream(dir() + "/fronts.json")
         << R"({"websocket":{"on":true,"listen":")" << host(0) << R"(:6000"},"zone":)" << zone << "}";
     const std::string config = dir() + "/config.json";  // named after this process, not the child
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -253,6 +253,110 @@
   EXPECT_NE(seen_.find("2 requests, 2 stood"), std::string::npos) << seen_;
 }
 
+// An event of the bulletin on office a; the empty frame of each second where no state is given.
+std::string event(const std::string& host, int number, int state = -1) {
+  const std::string no = std::string(7, '\0') + static_cast<char>(number);
+  if (state < 0) return std::string("\0\0\0\x09", 4) + no + '\0';
+  std::string address(4, '\0');
+  ::inet_pton(AF_INET, host.c_str(), address.data());
+  return std::string("\0\0\0\x24", 4) + no + '\2' + std::string("\0\0\0\x0a", 4) + address + "\x0f\xa0" +
+         static_cast<char>(state) + std::string("\0\0\0\0\0\0\3\xe8\0\0\0\0\0\0\0\0", 16);
+}
+
+// SIGHUP: a bad file changes nothing, a good one moves the bulletin, resumed after the last number.
+TEST_F(Platform, ReloadMovesTheBulletinAndKeepsTheOffices) {
+  offices_["old"] = net::listen_on({host(0), 2379});
+  offices_["new"] = net::listen_on({host(0), 2380});
+  start(true, "{\"on\":false}", 2379);
+  play(kBothUp);
+  StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["old"], soon()));
+  EXPECT_EQ(feed.next(), std::string("\0\0\0\0\0\0\0\1", 8));
+  feed.raw(event(host(1), 2, 1) + event(host(1), 3, 0));
+  std::ofstream(dir() + "/config.json") << R"({"bulletin":7})";
+  ::kill(child_, SIGHUP);
+  ASSERT_TRUE(read_log("bulletin: must be a string; the old settings stay")) << seen_;
+  configure(false, 2380);
+  ::kill(child_, SIGHUP);
+  ASSERT_TRUE(read_log("reload: bulletin is")) << seen_;
+  EXPECT_EQ(feed.next(), "end");
+  StandIn moved(StandIn::Kind::raw, net::accept_one(offices_["new"], soon()));
+  EXPECT_EQ(moved.next(), std::string("\0\0\0\0\0\0\0\3", 8));
+  play(kCallStandsAtA);
+}
+
+// An event told again, out of its order, must not undo what came after it.
+TEST_F(Platform, BulletinEventToldTwiceCountsOnce) {
+  offices_["bulletin"] = net::listen_on({host(0), 2379});
+  start(true, "{\"on\":false}", 2379);
+  play(kBothUp);
+  StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  feed.raw(event(host(1), 2, 1) + event(host(1), 3, 0) + event(host(1), 2, 1) + event(host(1), 3, 0) +
+           event(host(1), 2, 1));
+  feed.close();
+  StandIn again(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  EXPECT_EQ(again.next(), std::string("\0\0\0\0\0\0\0\3", 8));
+  play(kCallStandsAtA);
+}
+
+// Half an event, or nothing but trickling bytes, is a stop: the connection is given up and resumed.
+TEST_F(Platform, BulletinThatStopsIsAskedAgain) {
+  offices_["bulletin"] = net::listen_on({host(0), 2379});
+  start(true, "{\"on\":false}", 2379);
+  StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  feed.raw(event(host(1), 2) + event(host(1), 2, 1).substr(0, 20));
+  const Time from = net::now();
+  StandIn again(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  EXPECT_EQ(again.next(), std::string("\0\0\0\0\0\0\0\1", 8));
+  EXPECT_GT(net::now(), from + 1s);  // not on a gap that is usual
+}
+
+// What no office would check, and what belongs to another's call, never becomes a call.
+TEST_F(Platform, SetUpsThatMeanNothingAreRefused) {
+  start();
+  play(kBothUp);
+  int id = 2;
+  for (const char* facts :
+       {"dest:nan", "dest:-3", "dest:70000", "width:0", "width:400", "x", "dest:", "again:no"}) {
+    play("c" + std::to_string(id) + " open sip\nc" + std::to_string(id) + " send INVITE #" +
+         std::to_string(id) + " Subject:voice X-Patience:3000 X-Facts:" + facts + " | d\nc" +
+         std::to_string(id) + " expect 400");
+    ++id;
+  }
+  play(R"(
+    c open sip
+    c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0;width:1;via:-1 | mine
+    a expect START #1 mine
+    d open sip
+    d send INVITE #1 Subject:voice X-Patience:3000 | another
+    d expect 482 #1
+    d send INVITE #1 Subject:urgent X-Patience:3000 | mine
+    d expect 482 #1
+    d send INVITE #9 Subject:nothing X-Patience:3000 | d
+    d expect 488 #9
+    a send {"verb":"STARTED","tag":"#1","opts":{},"blob":"by a"}
+    c expect 200 #1 by a
+    d send INVITE #1 Subject:voice X-Patience:3000 | mine
+    d expect 482 #1
+  )");
+}
+
+// The same set-up again, as after a close that it crossed: its answer goes where the caller is now.
+TEST_F(Platform, RepeatedSetUpMovesItsAnswer) {
+  start();
+  play(kBothUp);
+  play(R"(
+    c open sip
+    c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0 | mine
+    a expect START #1
+    d open sip
+    d send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0 | mine
+    d send OPTIONS #2
+    d expect 200 OPTIONS
+    a send {"verb":"STARTED","tag":"#1","opts":{},"blob":"by a"}
+    d expect 200 #1 by a
+  )");
+}
+
 // Drained in the bulletin: the next set-up goes elsewhere.
 TEST_F(Platform, BulletinDrainsAnOffice) {
   offices_["bulletin"] = net::listen_on({host(0), 2379});
@@ -260,9 +364,7 @@
   play(kBothUp);
   StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
   EXPECT_EQ(feed.next(), std::string("\0\0\0\0\0\0\0\1", 8));
-  std::string frame("\0\0\0\x24\0\0\0\0\0\0\0\2\2", 13);
-  frame += std::string("\0\0\0\x0a\x7f\0\0\1\x0f\xa0\1\0\0\0\0\0\0\3\xe8\0\0\0\0\0\0\0\0", 27);
-  feed.raw(frame + std::string("\0\0\0\x09\0\0\0\0\0\0\0\2\0", 13));
+  feed.raw(event(host(1), 2, 1) + event(host(1), 2));
   feed.close();  // it resumes after the last event that it took
   StandIn again(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
   EXPECT_EQ(again.next(), std::string("\0\0\0\0\0\0\0\2", 8));
