Keep a standing call's connection, and give each connection deadlines and an end

Ruled out: offices' side (each release was heard), the queue (none failed to be pushed). Wrong: Door::reap closed the oldest idle connection, though its call stood, and push_to_any chose the oldest left, a client that asked once and keeps its connection. Now room is made by the silent, the idle, then those with standing calls, the quietest first, nothing unread; another's connection is the one last heard of. In the same files, from reading: links, Core::listed_ and dialogues of what has gone end; records of ended calls are bounded and deadline timers taken back; deadlines are absolute; a writer holds 2 s at most; an error answer survives the close; a connection that was being dialled when its office went was served for ever; a resent set-up died with its first connection; spoilt lines and reports are refused.

--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -23,7 +23,8 @@
   record.request = std::move(request);
   if (!record.request.class_known) return finish(record, Phase::failed, Why::unknown_class, {});
   if (leaves <= now_) return finish(record, Phase::failed, Why::deadline_passed, {});
-  timers_.emplace(leaves, Due{Due::Kind::deadline, static_cast<std::uint64_t>(call), 0, {}});
+  record.deadline =
+      timers_.emplace(leaves, Due{Due::Kind::deadline, static_cast<std::uint64_t>(call), 0, {}});
   events_.emplace_back(record.request.told);
 }
 
--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -9,6 +9,8 @@
 
 // So long a call's record outlives its end: a late answer or a client that asks again finds it.
 constexpr Duration kKept = std::chrono::seconds(30);
+// No more records of ended calls than this: a client that sends at full speed must not fill the memory.
+constexpr std::size_t kMostKept = 4096;
 
 FullReason reason_of(const std::string& note) {
   if (note == "blocked") return FullReason::no_lines;
@@ -48,18 +50,33 @@
   --open_;
   ++(phase == Phase::refused ? counts_.refused : phase == Phase::failed ? counts_.failed : counts_.given_up);
   const CallId call = record.request.told.call;
-  timers_.emplace(now_ + kKept, Due{Due::Kind::forget, static_cast<std::uint64_t>(call), 0, {}});
-  record.request.description.clear();
-  record.request.side->refused(call, why, later);
+  CallerSide* side = record.request.side;
+  keep_ended(record);
+  side->refused(call, why, later);
+}
+
+// The record outlives its call for a while, without what only an open call needs.
+void Core::keep_ended(Record& record) {
+  drop_deadline(record);
+  record.request.description = {};
+  ended_.emplace_back(now_ + kKept, record.request.told.call);
+  while (!ended_.empty() && (ended_.size() > kMostKept || ended_.front().first <= now_)) {
+    if (ended_.front().second == record.request.told.call) break;
+    calls_.erase(ended_.front().second);
+    ended_.pop_front();
+  }
+}
+void Core::drop_deadline(Record& record) {
+  if (record.deadline) timers_.erase(*record.deadline);
+  record.deadline.reset();
 }
 
 // A call that stood is over.
 void Core::close(Record& record) {
   record.phase = Phase::over;
-  record.request.description.clear();
+  record.answer = {};
   standing(record.stands_at, -1);
-  timers_.emplace(now_ + kKept,
-                  Due{Due::Kind::forget, static_cast<std::uint64_t>(record.request.told.call), 0, {}});
+  keep_ended(record);
 }
 
 void Core::standing(ServerId office, int change) {
@@ -72,8 +89,12 @@
 // The process there has died or its machine is gone: its calls are cut, and their callers must hear of it.
 void Core::cut_calls_at(ServerId office) {
   if (!standing_.contains(office)) return;
-  for (auto& [call, record] : calls_) {
-    if (record.phase != Phase::stands || record.stands_at != office) continue;
+  std::vector<CallId> cut;
+  for (const auto& [call, record] : calls_) {
+    if (record.phase == Phase::stands && record.stands_at == office) cut.push_back(call);
+  }
+  for (const CallId call : cut) {
+    Record& record = calls_.at(call);
     tell_ended(record, {record.attempts - 1, office, now_}, Ending::reset, true);
     close(record);
     record.request.side->released(call, kTemporaryFailure);
@@ -100,6 +121,7 @@
     listed_[entry.server] = entry;
   }
   for (const ServerId id : over) cut_calls_at(id);
+  std::erase_if(listed_, [](const auto& l) { return l.second.state == ServerState::gone; });
   events_.emplace_back(std::move(event));
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,7 @@
   virtual bool stands(CallId call, const std::string& description) = 0;
   virtual void refused(CallId call, Why why, Duration later) = 0;
   virtual void released(CallId call, int cause) = 0;
+  virtual void over(CallId call) = 0;  // its caller has released it: nothing of it need be kept
 };
 
 struct SetUp {
@@ -132,6 +134,12 @@
     ServerId office{};
     Time sent{};
   };
+  struct Due {
+    enum class Kind { module, attempt, deadline, task } kind{};
+    std::uint64_t id = 0;  // token or call
+    std::uint32_t attempt = 0;
+    std::function<void()> task{};
+  };
   struct Record {
     Request request;
     Phase phase = Phase::open;
@@ -140,12 +148,7 @@
     std::optional<Attempt> out;
     ServerId stands_at{};
     std::string answer;
-  };
-  struct Due {
-    enum class Kind { module, attempt, deadline, forget, task } kind{};
-    std::uint64_t id = 0;  // token or call
-    std::uint32_t attempt = 0;
-    std::function<void()> task{};
+    std::optional<std::multimap<Time, Due>::iterator> deadline;
   };
   using Task = std::function<void()>;
 
@@ -173,6 +176,8 @@
                   const Outcome* told = nullptr);
   void finish(Record& record, Phase phase, Why why, Duration later);
   void close(Record& record);
+  void keep_ended(Record& record);
+  void drop_deadline(Record& record);
   void cut_calls_at(ServerId office);
   void list(bool complete, const std::vector<OfficeEntry>& offices);
   void standing(ServerId office, int change);
@@ -196,6 +201,7 @@
   ActionSink actions_;
   std::unordered_map<CallId, Record> calls_;
   std::multimap<Time, Due> timers_;
+  std::deque<std::pair<Time, CallId>> ended_;  // records kept of ended calls, and until when
   std::map<ServerId, ServerEntry> listed_;
   std::map<ServerId, int> standing_;
   net::Thread thread_;
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -36,6 +36,7 @@
   r->phase = Phase::stands;
   r->stands_at = office;
   r->answer = std::move(description);
+  drop_deadline(*r);
   --open_;
   ++counts_.stood;
   standing(office, +1);
@@ -77,6 +78,7 @@
   offices_->release(r->stands_at, call);
   tell_ended(*r, {r->attempts - 1, r->stands_at, now_}, Ending::cancelled, true);
   close(*r);
+  r->request.side->over(call);
 }
 
 void Core::relay_give_up(CallId call, const CallerSide& side) {
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -116,6 +116,7 @@
         break;
       case Due::Kind::deadline:
         if (Record* r = find(call); r != nullptr && r->phase == Phase::open) {
+          r->deadline.reset();  // it has just been taken off
           events_.emplace_back(CallerLeft{call});
           abandon(*r, Ending::timeout, true);
           finish(*r, Phase::failed, Why::deadline_passed, {});
@@ -124,9 +125,6 @@
       case Due::Kind::task:
         due.task();
         break;
-      case Due::Kind::forget:
-        if (const Record* r = find(call); r != nullptr && r->phase != Phase::stands) calls_.erase(call);
-        break;
     }
   }
 }
--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -166,11 +166,12 @@
       const std::size_t length = held.size() < 2 ? 0 : get(held, 0, 2);
       if (held.size() >= 2 && (length < kHeader || length > net::kMostMessage)) return;
       if (held.size() < 2 || held.size() < 2 + length) {
-        if (buffer_.fill(fd_, net::now() + kIdle) != net::Got::data) return;
+        if (more(net::now() + kIdle) != net::Got::data) return;
         continue;
       }
       const std::string answer = updates_.answer(held.substr(2, length));
       buffer_.take(2 + length);
+      whole();
       std::string out{static_cast<char>(answer.size() >> 8U), static_cast<char>(answer.size())};
       if (!push(out + answer)) return;
     }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <malloc.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <exception>
@@ -74,8 +75,9 @@
   if (argc > 1) fronts = config::read_fronts(config::read_json(argv[1]), argv[1]);
   config::Node node = config::node_from_environment();
 
-  // Callers may hold a third of the descriptors; a few more places let new ones in while old ones end.
-  const std::size_t callers = node.limits.sockets * 45 / 100;
+  // Usual callers hold a third of the descriptors at the most. What others hold beside them must leave the
+  // offices theirs, and a connection takes some 20 KB with its two threads.
+  const std::size_t callers = std::min(node.limits.sockets * 60 / 100, node.limits.memory_mb * 16);
   core::Core core(node.settings, node.seed);
   core::OfficeList list(core);
   platform::Offices offices(core, node.class_names, node.dial_limit);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -1,7 +1,10 @@
 #include "net/door.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <stdexcept>
+#include <tuple>
+#include <vector>
 
 namespace reeltack::net {
 namespace {
@@ -9,23 +12,35 @@
 constexpr Duration kLook = std::chrono::milliseconds(5);
 // Those over the limit that may wait while idle ones are asked to end.
 constexpr std::size_t kOverflow = 32;
+// A message must be whole so soon after its first byte, and the first one after the connection came up.
+constexpr Duration kWhole = std::chrono::seconds(2);
+// A peer that has said nothing for so long may be spared: usual ones send as soon as they are connected.
+constexpr Duration kShy = std::chrono::milliseconds(250);
+// What a peer still sends after its last answer is read and dropped within these bounds.
+constexpr Duration kDrain = std::chrono::seconds(1);
+constexpr std::size_t kMostDrained = std::size_t{64} * 1024 * 1024;
 
 }  // namespace
 
 void Peer::begin() {
   const auto self = shared_from_this();  // alive until both threads are done
   writer_ = Thread([self] { self->outbox_.write_to(self->fd_); });
-  reader_ = Thread([self] {
-    self->read();
-    self->outbox_.finish();
-    std::set<CallId> open;
-    {
-      const std::lock_guard hold(self->lock_);
-      open.swap(self->open_);
-    }
-    self->left(open);
-    self->over_ = true;
-  });
+  reader_ = Thread([self] { self->live(); });
+}
+void Peer::live() {
+  read();
+  std::set<CallId> open;
+  {
+    std::unique_lock hold(lock_);
+    // What crossed our own closing has been taken, and each such set-up gets its answer in its time.
+    if (retiring_) answered_.wait(hold, [this] { return open_.empty(); });
+    open.swap(open_);
+  }
+  outbox_.finish();
+  left(open);
+  if (drains_) drain(fd_, now() + kDrain, kMostDrained);
+  writer_.join();
+  over_ = true;
 }
 bool Peer::push(std::string bytes, std::uint64_t tag, Outbox::Check check) {
   if (outbox_.push(std::move(bytes), tag, std::move(check))) return true;
@@ -44,14 +59,48 @@
   const std::lock_guard hold(lock_);
   open_.insert(call);
 }
+void Peer::stood(CallId call) {
+  const std::lock_guard hold(lock_);
+  if (open_.erase(call) > 0) standing_.insert(call);
+  answered_.notify_all();
+}
 void Peer::closed(CallId call) {
   const std::lock_guard hold(lock_);
   open_.erase(call);
+  standing_.erase(call);
+  answered_.notify_all();
 }
-bool Peer::idle() const {
+Peer::Spare Peer::spare() const {
   const std::lock_guard hold(lock_);
-  return open_.empty();
+  if (over_ || retiring_ || !open_.empty() || fd_.unread()) return Spare::kept;
+  if (!served_) return heard() + kShy < now() ? Spare::silent : Spare::kept;
+  return standing_.empty() ? Spare::idle : Spare::standing;
+}
+void Peer::retire() {
+  retiring_ = true;
+  fd_.shut_read();
+}
+Time Peer::due() const {
+  if (!buffer_.view().empty()) return begun_ + kWhole;
+  return served_ ? kNever : connected_ + kWhole;
 }
+Got Peer::more(Time look) {
+  const bool fresh = buffer_.view().empty();
+  // Nothing more is taken from a peer that leaves its answers unread: they would pile up here.
+  if (!outbox_.wait_for_room(now() + kWhole)) return Got::closed;
+  const Got got = buffer_.fill(fd_, std::min(look, due()));
+  if (got == Got::data) {
+    const Time at = now();
+    heard_ = at.time_since_epoch().count();
+    if (fresh) begun_ = at;
+  }
+  return got;
+}
+void Peer::whole() {
+  served_ = true;
+  begun_ = now();
+}
+void Peer::hang_up() { drains_ = true; }
 
 Door::Door(std::size_t most, Make make, Joined joined)
     : most_(most), make_(std::move(make)), joined_(std::move(joined)) {}
@@ -73,7 +122,7 @@
     const std::lock_guard hold(lock_);
     all.swap(peers_);
   }
-  for (const auto& p : all) p->finish();
+  for (const auto& p : all) p->retire();
   for (const auto& p : all) p->join();
 }
 
@@ -107,35 +156,52 @@
   }
 }
 
-// Ends what is over. At the limit, the oldest connections that carry no set-up make room.
+// Ends what is over and makes room at the limit.
 bool Door::reap() {
   bool place = true;
   std::list<std::shared_ptr<Peer>> over;
   {
     const std::lock_guard hold(lock_);
-    std::size_t excess = peers_.size() > most_ ? peers_.size() - most_ : 0;
     for (auto at = peers_.begin(); at != peers_.end();) {
       const auto next = std::next(at);
-      if ((*at)->over()) {
-        over.splice(over.end(), peers_, at);
-      } else if (excess > 0 && (*at)->idle()) {
-        (*at)->finish();
-        --excess;
-      }
+      if ((*at)->over()) over.splice(over.end(), peers_, at);
       at = next;
     }
+    if (peers_.size() > most_) make_room();
     place = peers_.size() < most_ + kOverflow;
   }
   for (const auto& p : over) p->join();
   return place;
 }
 
+// Those that never said a word go first, then those without a call, then those whose calls stand (the release
+// of these goes by another connection); of each kind the one that was quiet longest.
+void Door::make_room() {
+  std::size_t excess = peers_.size() - most_;
+  std::vector<std::tuple<Peer::Spare, Time, Peer*>> spared;
+  for (const auto& p : peers_) {
+    if (p->retiring()) {
+      if (--excess == 0) return;
+      continue;
+    }
+    const Peer::Spare spare = p->spare();
+    if (spare != Peer::Spare::kept) spared.emplace_back(spare, p->heard(), p.get());
+  }
+  std::sort(spared.begin(), spared.end());
+  for (const auto& [spare, heard, p] : spared) {
+    if (excess-- == 0) return;
+    p->retire();
+  }
+}
+
 bool Door::push_to_any(const std::string& bytes) {
   const std::lock_guard hold(lock_);
-  for (const auto& peer : peers_) {
-    if (!peer->over() && peer->push(bytes)) return true;
+  std::vector<std::pair<Time, Peer*>> open;
+  for (const auto& p : peers_) {
+    if (!p->over() && !p->retiring()) open.emplace_back(p->heard(), p.get());
   }
-  return false;
+  std::sort(open.rbegin(), open.rend());
+  return std::any_of(open.begin(), open.end(), [&bytes](const auto& p) { return p.second->push(bytes); });
 }
 
 }  // namespace reeltack::net
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -1,10 +1,12 @@
 // The accepting side of every front: a listener and the connections that came in by it.
 //
-// Owns: the accept loop, each peer's reader and writer, the limit on their number, and their orderly end.
+// Owns: the accept loop, each peer's reader and writer, the limit on their number, the guards against peers
+//   that say nothing, half a message or more than they read, and every connection's orderly end.
 // Must never: know what a peer says, or close one that still waits for an answer to make room.
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <list>
 #include <memory>
 #include <set>
@@ -30,10 +32,17 @@
   void join();
   [[nodiscard]] bool over() const { return over_; }
 
-  // The set-ups that came here and have no final answer yet.
+  // The set-ups that came here and have no final answer yet, and those that stand.
   void opened(CallId call);
+  void stood(CallId call);
   void closed(CallId call);
-  [[nodiscard]] bool idle() const;
+
+  // How well it can be spared, the least first; kKept: not at all now.
+  enum class Spare { silent, idle, standing, kept };
+  [[nodiscard]] Spare spare() const;
+  [[nodiscard]] Time heard() const { return Time{Duration{heard_.load()}}; }
+  void retire();  // ends it for room: reads on to what has come already, answers that, and closes
+  [[nodiscard]] bool retiring() const { return retiring_; }
 
  protected:
   // The reader's life, on its own thread; what it leaves queued is still written.
@@ -41,13 +50,31 @@
   // After the last read, with the set-ups that were open here.
   virtual void left(const std::set<CallId>& open) = 0;
 
+  // For the reader: more of the next message. Late: `look` has passed, or the message is overdue.
+  Got more(Time look = kNever);
+  // By when it must be whole: a peer that has sent none is given as long as one that is in the middle of one;
+  // one that has may stay quiet for good.
+  [[nodiscard]] Time due() const;
+  [[nodiscard]] bool overdue() const { return now() >= due(); }
+  void whole();    // a message was taken off the buffer
+  void hang_up();  // the last answer is queued: what the peer still sends is dropped, so that it arrives
+
   Fd fd_;
   Buffer buffer_;
 
  private:
+  void live();
   Outbox outbox_;
   mutable std::mutex lock_;
+  std::condition_variable answered_;
   std::set<CallId> open_;
+  std::set<CallId> standing_;
+  const Time connected_ = now();
+  Time begun_ = connected_;  // of the message in the buffer
+  bool drains_ = false;
+  std::atomic<bool> served_{false};  // a whole message came
+  std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
+  std::atomic<bool> retiring_{false};
   std::atomic<bool> over_{false};
   Thread writer_;
   Thread reader_;
@@ -62,11 +89,12 @@
   void open(const Address& at);  // throws std::runtime_error
   void stop_accepting();
   void close_all();  // writes what is queued, then ends every connection
-  // Hands it to the first open connection that takes it; false: there is none.
+  // Hands it to the open connection last heard of that takes it; false: there is none.
   bool push_to_any(const std::string& bytes);
 
  private:
   void accept_loop();
+  void make_room();  // with the lock held
   // False while there is no place for one more, or no descriptor.
   bool reap();
   const std::size_t most_;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,6 +28,8 @@
 constexpr std::size_t kStack = std::size_t{128} * 1024;
 #endif
 
+constexpr Duration kUnread = std::chrono::seconds(2);  // of one message that a peer does not read
+
 // Waits until the descriptor is ready; false at the deadline.
 bool wait_for(int fd, short what, Time deadline) {
   for (;;) {
@@ -77,6 +80,17 @@
   if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
 }
 
+void Fd::shut_read() const {
+  if (fd_ >= 0) ::shutdown(fd_, SHUT_RD);
+}
+void Fd::shut_write() const {
+  if (fd_ >= 0) ::shutdown(fd_, SHUT_WR);
+}
+bool Fd::unread() const {
+  int waiting = 0;
+  return fd_ >= 0 && ::ioctl(fd_, FIONREAD, &waiting) == 0 && waiting > 0;
+}
+
 Thread::Thread(std::function<void()> body) {
   pthread_attr_t attributes;
   ::pthread_attr_init(&attributes);
@@ -162,19 +176,33 @@
   }
 }
 
-bool write_all(const Fd& to, std::string_view bytes) {
+bool write_all(const Fd& to, std::string_view bytes, Time by) {
   while (!bytes.empty()) {
-    const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && wait_for(to.get(), POLLOUT, by)) continue;
     if (n <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(n));
   }
   return true;
 }
 
+void drain(const Fd& from, Time by, std::size_t most) {
+  constexpr std::size_t kStep = std::size_t{256} * 1024;
+  for (std::size_t dropped = 0; dropped < most && wait_for(from.get(), POLLIN, by);) {
+    // TCP drops the bytes itself where it is told to truncate: no memory, and no copy.
+    const ssize_t n = ::recv(from.get(), nullptr, kStep, MSG_TRUNC | MSG_DONTWAIT);
+    if (n == 0 || (n < 0 && errno != EINTR && errno != EAGAIN)) return;
+    dropped += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
+  }
+}
+
 Got Buffer::fill(const Fd& from, Time deadline) {
   constexpr std::size_t kStep = 2048;
-  if (from_ == to_) from_ = to_ = 0;
+  if (from_ == to_) {
+    from_ = to_ = 0;
+    if (data_.size() > 4 * kStep) data_ = {};  // what one large message took is not kept for good
+  }
   if (data_.size() - to_ < kStep && from_ > 0) {
     std::memmove(data_.data(), data_.data() + from_, to_ - from_);
     to_ -= from_;
@@ -211,18 +239,29 @@
   return true;
 }
 
+bool Outbox::wait_for_room(Time by) {
+  std::unique_lock hold(lock_);
+  const auto at = std::chrono::time_point<std::chrono::system_clock, Duration>(by.time_since_epoch());
+  return emptied_.wait_until(hold, at, [this] { return closed_ || queued_ <= kMuchQueued; }) && !closed_;
+}
+
 void Outbox::write_to(const Fd& fd) {
   std::unique_lock hold(lock_);
+  bool orderly = false;
   for (;;) {
     busy_ = false;
     filled_.wait(hold, [this] { return closed_ || finishing_ || !items_.empty(); });
+    orderly = !closed_;
     if (closed_ || items_.empty()) break;
+    orderly = false;
     const Item item = std::move(items_.front());
     items_.pop_front();
     queued_ -= item.bytes.size();
     busy_ = true;
+    emptied_.notify_one();
     hold.unlock();
-    const bool written = (item.check && !item.check()) || write_all(fd, item.bytes);
+    // A peer that does not read in time holds its writer no longer.
+    const bool written = (item.check && !item.check()) || write_all(fd, item.bytes, now() + kUnread);
     hold.lock();
     if (!written) break;
   }
@@ -230,8 +269,11 @@
   closed_ = true;
   items_.clear();
   queued_ = 0;
+  emptied_.notify_one();
   hold.unlock();
-  fd.shut();
+  // After an orderly end the peer may still be sending: closing the other way too would have it reset, and
+  // the last answer lost with it.
+  orderly ? fd.shut_write() : fd.shut();
 }
 
 void Outbox::finish() {
@@ -243,6 +285,7 @@
   const std::lock_guard hold(lock_);
   closed_ = true;
   filled_.notify_one();
+  emptied_.notify_one();
 }
 bool Outbox::behind() const {
   const std::lock_guard hold(lock_);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -34,7 +34,10 @@
   [[nodiscard]] int get() const { return fd_; }
   explicit operator bool() const { return fd_ >= 0; }
   void reset();
-  void shut() const;  // both ways: wakes whoever reads or writes it
+  void shut() const;        // both ways: wakes whoever reads or writes it
+  void shut_read() const;   // wakes whoever reads it, once what has come is read
+  void shut_write() const;  // what was written arrives, and then the end
+  [[nodiscard]] bool unread() const;
 
  private:
   int fd_ = -1;
@@ -68,8 +71,9 @@
   Dial how = Dial::failed;
 };
 Dialled dial(const Address& to, Time deadline);
-Fd listen_on(const Address& at);                       // throws std::runtime_error
-bool write_all(const Fd& to, std::string_view bytes);  // blocks; false: the connection is over
+Fd listen_on(const Address& at);                                         // throws std::runtime_error
+bool write_all(const Fd& to, std::string_view bytes, Time by = kNever);  // false: over, or not read in time
+void drain(const Fd& from, Time by, std::size_t most);  // reads and drops, until the end or a bound
 void pause_until(Time at);
 Fd accept_one(const Fd& listener, Time deadline);
 
@@ -98,11 +102,14 @@
   bool withdraw(std::uint64_t tag);  // true: it had not begun to leave and never will
   void write_to(const Fd& fd);       // the writer's whole life
   void finish();                     // write what is queued, then end
+  bool wait_for_room(Time by);       // false: closed, or the peer reads too little
   void abandon();
   [[nodiscard]] bool behind() const;  // something is still unwritten
 
  private:
-  static constexpr std::size_t kMostQueued = std::size_t{256} * 1024;
+  // By hundreds of peers that do not read, so much must fit into the least memory.
+  static constexpr std::size_t kMostQueued = std::size_t{64} * 1024;
+  static constexpr std::size_t kMuchQueued = std::size_t{8} * 1024;  // no more is read meanwhile
   struct Item {
     std::string bytes;
     std::uint64_t tag = 0;
@@ -110,6 +117,7 @@
   };
   mutable std::mutex lock_;
   std::condition_variable filled_;
+  std::condition_variable emptied_;
   std::deque<Item> items_;
   std::size_t queued_ = 0;
   bool busy_ = false;
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -1,6 +1,7 @@
 #include "platform/offices.h"
 
 #include <algorithm>
+#include <atomic>
 #include <list>
 
 #include "net/json.h"
@@ -11,14 +12,19 @@
 using core::SetUp;
 using net::Json;
 
+// A report with a figure out of range is worth nothing: none of it is used.
 LoadReport read_report(std::string_view text) {
+  constexpr double kMost = 1.0e7;
   LoadReport out;
-  net::each_figure(text, [&out](std::string_view name, double value) {
+  bool sound = true;
+  net::each_figure(text, [&out, &sound](std::string_view name, double value) {
+    sound = sound && value >= -1.0 && value <= kMost;
     if (name == "x0" || name == "free") out.free_lines = value;
     if (name == "x1" || name == "size") out.lines = value;
     if (name == "latency_ms" || name == "recent_ms") out.wait_ms = value;
     if (name == "eps" || name == "hold_back") out.hold_back = value;
   });
+  if (!sound || (out.lines >= 0.0 && out.free_lines > out.lines)) return {};
   return out;
 }
 
@@ -48,8 +54,13 @@
   ~OfficeLink() { stop(); }
 
   void begin() {
-    thread_ = net::Thread([this] { run(); });
+    thread_ = net::Thread([this] {
+      run();
+      ended_ = true;
+    });
   }
+  // Its office is gone and its thread done: it may be freed, by another thread, without a wait.
+  [[nodiscard]] bool ended() const { return ended_; }
   void stop() {
     {
       const std::lock_guard hold(lock_);
@@ -61,12 +72,14 @@
     thread_.join();
   }
 
-  void listed(const OfficeEntry& office) {
+  // False: this link is for an office that has gone, and a new one is needed.
+  bool listed(const OfficeEntry& office) {
     const std::lock_guard hold(lock_);
     const auto address = net::parse_address(office.address);
     const bool restarted = office.entry.started_at > started_at_ && started_at_ != Time::min();
     started_at_ = office.entry.started_at;
     if (restarted) dead_ = false;
+    if (gone_ && office.entry.state != ServerState::gone) return false;  // its thread is on its way out
     ready_ = office.entry.state == ServerState::ready;
     gone_ = office.entry.state == ServerState::gone;
     // Guards against speaking to a dead process, or to one that has taken over the address.
@@ -74,10 +87,12 @@
     if (address) address_ = *address;
     retry_at_ = {};
     changed_.notify_all();
+    return true;
   }
 
-  void start(const SetUp& set_up, std::string line) {
+  bool start(const SetUp& set_up, std::string line) {  // false: the office has gone
     const std::lock_guard hold(lock_);
+    if (gone_) return false;
     const std::uint64_t tag = ++tags_;
     open_[set_up.call] = {set_up.attempt, tag, set_up.give_up, false, std::move(line)};
     if (outbox_) {
@@ -85,6 +100,7 @@
     } else {
       changed_.notify_all();  // dial for it, at once
     }
+    return true;
   }
 
   void give_up(CallId call, std::uint32_t attempt) {
@@ -101,6 +117,7 @@
 
   void release(CallId call) {
     const std::lock_guard hold(lock_);
+    if (gone_) return;  // with the office went its calls
     if (!outbox_ || !outbox_->push(finish_line(call))) owed_.push_back(finish_line(call));
     changed_.notify_all();
   }
@@ -123,8 +140,9 @@
   // With the lock held.
   void queue(CallId call, Open& open) {
     const std::uint32_t attempt = open.attempt;
-    const bool queued = outbox_->push(std::move(open.line), open.tag,
-                                      [this, call, attempt] { return may_leave(call, attempt); });
+    // The line is kept: where the connection breaks before it has left, it goes on the next one.
+    const bool queued =
+        outbox_->push(open.line, open.tag, [this, call, attempt] { return may_leave(call, attempt); });
     if (!queued) fd_.shut();  // the reader reports what was open
   }
 
@@ -147,7 +165,7 @@
       {
         std::unique_lock hold(lock_);
         const auto wanted = [this] {
-          if (stopping_ || !open_.empty()) return true;
+          if (stopping_ || gone_ || !open_.empty()) return true;
           return !gone_ && !dead_ && (ready_ || calls_stand_ || !owed_.empty()) && net::now() >= retry_at_;
         };
         while (!wanted()) {
@@ -159,13 +177,18 @@
             changed_.wait(hold);
           }
         }
-        if (stopping_) return;
+        if (stopping_ || (gone_ && open_.empty())) return;
         to = address_;
+        if (gone_) to.port = 0;  // another process may have the address now
+      }
+      if (to.port == 0) {
+        failed(net::Dial::failed);
+        continue;
       }
       net::Dialled dialled{std::move(spare_), net::Dial::up};  // of a connection that had gone quiet
       if (!dialled.fd) dialled = net::dial(to, net::now() + dial_limit_);
       if (dialled.how == net::Dial::up) {
-        serve(std::move(dialled.fd));
+        serve(std::move(dialled.fd), to);
         continue;
       }
       failed(dialled.how);
@@ -192,11 +215,12 @@
     for (const auto& [call, open] : lost) core_.send_failed(call, open.attempt, Ending::connect_failed);
   }
 
-  void serve(net::Fd fd) {
+  void serve(net::Fd fd, const net::Address& to) {
     net::Outbox outbox;
     {
       const std::lock_guard hold(lock_);
-      if (stopping_) return;
+      // Told while it was dialled: the office is gone or elsewhere, and who answers here may be another.
+      if (stopping_ || gone_ || net::to_text(to) != net::to_text(address_)) return;
       fd_ = std::move(fd);
       outbox_ = &outbox;
       was_up_ = true;
@@ -216,7 +240,12 @@
       const std::lock_guard hold(lock_);
       outbox_ = nullptr;
       fd_.reset();
-      lost.swap(open_);
+      // What has not left never ran, and goes on the next connection while its time lasts.
+      for (auto at = open_.begin(); at != open_.end();) {
+        const auto next = std::next(at);
+        if (at->second.left || !ready_ || stopping_) lost.insert(open_.extract(at));
+        at = next;
+      }
       retry_at_ = net::now() + std::chrono::milliseconds(20);
     }
     for (const auto& [call, open] : lost)
@@ -242,9 +271,10 @@
         }
         continue;
       }
+      // After spoilt bytes nothing on this connection can be trusted: all that is open on it broke.
       try {
         read_line(Json::parse(held.substr(0, end)));
-      } catch (const net::JsonError& error) {
+      } catch (const std::runtime_error& error) {
         net::log_line("office " + net::office_name(id_) + " closed: " + error.what());
         return;
       }
@@ -285,6 +315,7 @@
       const std::string* s = field == nullptr ? nullptr : field->string();
       return s == nullptr ? std::string() : *s;
     };
+    const auto spoilt = [](const char* what) { throw net::JsonError(std::string("a line with ") + what); };
     const std::string verb = text("verb");
     const auto tag = net::parse_hex16(text("tag"));
     const Json* opts = line.find("opts");
@@ -294,18 +325,23 @@
     };
     const LoadReport report = read_report(opt("load"));
     if (verb == "LOAD") return core_.reported(id_, report);
-    if (!tag) return;
+    if (verb == "PENDING" || verb == "FINISHED" || verb == "ECHOED") return;
+    if (!tag) return spoilt("no tag");
     const CallId call{*tag};
     if (verb == "STARTED") {
+      const Json* blob = line.find("blob");
+      if (blob == nullptr || blob->string() == nullptr) return spoilt("an answer without a description");
       over(call);
       if (report.free_lines >= 0.0) core_.reported(id_, report);
       core_.answered(id_, call, text("blob"));
     } else if (verb == "FINISH") {
-      over(call);
       const Json* rc = line.find("rc");
       const auto cause = rc == nullptr ? std::nullopt : rc->numeric();
-      core_.ended(
-          {id_, call, cause ? static_cast<int>(std::clamp(*cause, 0.0, 127.0)) : 0, opt("note"), report});
+      if (!cause || *cause < 0.0 || *cause > 127.0) return spoilt("no cause");
+      over(call);
+      core_.ended({id_, call, static_cast<int>(*cause), opt("note"), report});
+    } else {
+      spoilt("an unknown verb");
     }
   }
 
@@ -323,7 +359,8 @@
   Time started_at_ = Time::min();
   Time retry_at_{};
   bool ready_ = false;
-  bool gone_ = false;
+  bool gone_ = false;  // for good: what comes back under the id gets a new link
+  std::atomic<bool> ended_{false};
   bool stopping_ = false;
   bool calls_stand_ = false;
   bool was_up_ = false;
@@ -348,32 +385,65 @@
 }
 
 void Offices::listed(bool complete, const std::vector<OfficeEntry>& offices) {
-  const std::lock_guard hold(lock_);
-  for (const OfficeEntry& office : offices) {
-    auto& link = links_[office.entry.server];
-    const bool fresh = !link;
-    if (fresh) link = std::make_shared<OfficeLink>(core_, office.entry.server, dial_limit_);
-    link->listed(office);
-    if (fresh) link->begin();
+  {
+    const std::lock_guard hold(lock_);
+    for (const OfficeEntry& office : offices) {
+      const auto found = links_.find(office.entry.server);
+      if (found != links_.end()) {
+        if (found->second->listed(office)) continue;
+        leaving_.push_back(std::move(found->second));
+        links_.erase(found);
+      }
+      if (office.entry.state == ServerState::gone) continue;
+      auto& link = links_[office.entry.server];
+      link = std::make_shared<OfficeLink>(core_, office.entry.server, dial_limit_);
+      link->listed(office);
+      link->begin();
+    }
+    for (auto& [id, link] : links_) {
+      const bool kept =
+          !complete || std::any_of(offices.begin(), offices.end(),
+                                   [id = id](const OfficeEntry& o) { return o.entry.server == id; });
+      if (!kept) link->listed({{.server = id, .state = ServerState::gone}, ""});
+    }
   }
-  if (!complete) return;
-  for (auto& [id, link] : links_) {
-    const bool kept = std::any_of(offices.begin(), offices.end(),
-                                  [id = id](const OfficeEntry& o) { return o.entry.server == id; });
-    if (!kept) link->listed({{.server = id, .state = ServerState::gone}, ""});
+  sweep();
+}
+
+// Frees the links of gone offices whose threads are done. Called from any thread but theirs.
+void Offices::sweep() {
+  std::vector<std::shared_ptr<OfficeLink>> ended;
+  {
+    const std::lock_guard hold(lock_);
+    for (auto at = links_.begin(); at != links_.end();) {
+      const auto next = std::next(at);
+      if (at->second->ended()) {
+        ended.push_back(std::move(at->second));
+        links_.erase(at);
+      }
+      at = next;
+    }
+    std::erase_if(leaving_, [&ended](auto& link) {
+      if (!link->ended()) return false;
+      ended.push_back(std::move(link));
+      return true;
+    });
   }
 }
 
 void Offices::start(const SetUp& set_up) {
+  sweep();
   const auto to = link(set_up.office);
   if (!to) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - net::now()).count();
   const std::string name = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
-  to->start(set_up, R"({"verb":"START","tag":")" + net::hex16(static_cast<std::uint64_t>(set_up.call)) +
-                        R"(","opts":{"class":)" + net::quoted(name) + R"(,"key":")" +
-                        net::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left":")" +
-                        std::to_string(std::max<std::int64_t>(left, 1)) + R"("},"blob":)" +
-                        net::quoted(set_up.description) + "}\n");
+  const std::string line = R"({"verb":"START","tag":")" +
+                           net::hex16(static_cast<std::uint64_t>(set_up.call)) + R"(","opts":{"class":)" +
+                           net::quoted(name) + R"(,"key":")" +
+                           net::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left":")" +
+                           std::to_string(std::max<std::int64_t>(left, 1)) + R"("},"blob":)" +
+                           net::quoted(set_up.description) + "}\n";
+  if (!to->start(set_up, line)) core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
 }
 void Offices::give_up(ServerId office, CallId call, std::uint32_t attempt) {
   if (const auto to = link(office)) to->give_up(call, attempt);
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -29,11 +29,13 @@
 
  private:
   std::shared_ptr<OfficeLink> link(ServerId office);
+  void sweep();
   core::Core& core_;
   std::vector<std::string> class_names_;
   Duration dial_limit_;
   std::mutex lock_;
   std::map<ServerId, std::shared_ptr<OfficeLink>> links_;
+  std::vector<std::shared_ptr<OfficeLink>> leaving_;  // of offices that came back under their id meanwhile
 };
 
 }  // namespace reeltack::platform
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -12,9 +12,6 @@
 
 using namespace std::chrono_literals;
 
-// A connection without an open set-up is closed after so long; callers close theirs after 4 s.
-constexpr Duration kIdle = 12s;
-
 constexpr std::int64_t kMostFigure = 65535;  // places are 16-bit numbers in the bulletin
 constexpr std::int64_t kWidest = 255;        // circuits of one call
 
@@ -151,15 +148,19 @@
       buffer_.take(used);
       if (parsed == Parsed::malformed) {
         push("SIP/2.0 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
-        return;
+        return hang_up();
       }
       if (parsed == Parsed::whole) {
+        whole();
         if (front_.take(self, message)) continue;
         push(answer(400, "Bad Request", message.echoed()));
-        return;
+        return hang_up();
       }
-      const net::Got got = buffer_.fill(fd_, net::now() + kIdle);
-      if (got == net::Got::closed || (got == net::Got::late && idle())) return;
+      const net::Got got = more();
+      if (got == net::Got::closed) return;
+      if (got == net::Got::data) continue;
+      push("SIP/2.0 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+      return hang_up();
     }
   }
   void left(const std::set<CallId>& open) override {
@@ -258,7 +259,9 @@
       return;
     } else {
       // The same set-up once more: it crossed a close of ours, and its answer is owed here now.
-      if (d.connection.lock() == from) return;
+      const auto before = d.connection.lock();
+      if (before == from) return;
+      if (before) before->closed(call);  // its end must not give the call up
       d.connection = from;
       d.echoed = message.echoed();
       from->opened(call);
@@ -277,8 +280,11 @@
   d.answered = true;
   d.description = {};
   const auto connection = d.connection.lock();
+  if (connection && connection->push(answer(200, "OK", d.echoed, "", description))) {
+    connection->stood(call);
+    return true;
+  }
   if (connection) connection->closed(call);
-  if (connection && connection->push(answer(200, "OK", d.echoed, "", description))) return true;
   dialogues_.erase(found);
   return false;
 }
@@ -291,7 +297,6 @@
   dialogues_.erase(found);
   const auto connection = d.connection.lock();
   if (!connection) return;
-  connection->closed(call);
   std::string advice;
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(later).count();
   if (ms > 0) advice = "X-Later-Ms: " + std::to_string(ms) + "\r\n";
@@ -304,6 +309,15 @@
                   {487, "Request Terminated"}};
   const auto& a = kAnswers[static_cast<std::size_t>(why)];
   connection->push(answer(a.status, a.reason, d.echoed, advice));
+  connection->closed(call);  // only now: a connection without an open set-up may end at any time
+}
+
+void SipFront::over(CallId call) {
+  const std::lock_guard hold(lock_);
+  const auto found = dialogues_.find(call);
+  if (found == dialogues_.end()) return;
+  if (const auto connection = found->second.connection.lock()) connection->closed(call);
+  dialogues_.erase(found);
 }
 
 void SipFront::released(CallId call, int cause) {
@@ -319,7 +333,9 @@
                     "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) +
                     "\r\nContent-Length: 0\r\n\r\n";
   const auto own = d.connection.lock();
-  if (own && !own->over() && own->push(bye)) return;
+  const bool told = own && !own->over() && !own->retiring() && own->push(bye);
+  if (own) own->closed(call);
+  if (told) return;
   // No connection owns a standing call: any open one will do, or else the next.
   if (!door_.push_to_any(bye)) owed_.push_back(std::move(bye));
 }
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -37,6 +37,7 @@
   bool stands(CallId call, const std::string& description) override;
   void refused(CallId call, core::Why why, Duration later) override;
   void released(CallId call, int cause) override;
+  void over(CallId call) override;
 
  private:
   friend class SipConnection;
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -15,7 +15,6 @@
 using net::quoted;
 
 constexpr Duration kSilence = 20s;     // then the peer is asked by a ping, and cut off after as long again
-constexpr Duration kHandshake = 5s;    // for the whole of it
 constexpr Duration kAway = 6s;         // a centrale without a socket for so long has lost its calls
 constexpr Duration kLongestWait = 1h;  // of a caller
 constexpr const char* kClients = "/calls";
@@ -79,18 +78,23 @@
       std::size_t used = 0;
       const std::optional<Message> message = assembler.next(buffer_.view(), used);
       buffer_.take(used);
+      if (used > 0) whole();
       if (assembler.fault() != 0) {
         push(close_frame(assembler.fault(), ""));
-        return;
+        return hang_up();
       }
       if (message) {
         asked = false;
         if (!take(self, *message)) return;
         continue;
       }
-      const net::Got got = buffer_.fill(fd_, net::now() + kSilence);
+      const net::Got got = more(net::now() + kSilence);
       if (got == net::Got::closed) return;
       if (got == net::Got::data) continue;
+      if (overdue()) {  // half a frame
+        push(close_frame(kProtocolError, "late"));
+        return hang_up();
+      }
       if (asked) {  // no answer to the ping either: the peer is gone
         push(close_frame(kGoingAway, "silent"));
         return;
@@ -105,13 +109,13 @@
 
  private:
   bool shake_hands() {
-    const Time until = net::now() + kHandshake;
     for (;;) {
       const Handshake h = read_handshake(buffer_.view(), {kClients, kCentrales}, front_.setup_.origins);
       buffer_.take(h.used);
       if (h.result != Handshake::Result::more) push(h.answer);
-      if (h.result == Handshake::Result::accepted) return path_ = h.path, true;
-      if (h.result == Handshake::Result::rejected || buffer_.fill(fd_, until) != net::Got::data) return false;
+      if (h.result == Handshake::Result::accepted) return path_ = h.path, whole(), true;
+      if (h.result == Handshake::Result::rejected) return hang_up(), false;
+      if (more() != net::Got::data) return false;
     }
   }
 
@@ -212,7 +216,13 @@
     if (ours && s.phase == Phase::stands) line += ",\"description\":" + quoted(s.description);
     if (ours && (s.phase == Phase::open || s.phase == Phase::stands)) {
       const std::lock_guard hold(lock_);
-      listening_[call] = socket;
+      std::weak_ptr<Connection>& listener = listening_[call];
+      const Socket before = listener.lock();
+      if (before && before != socket) {
+        before->closed(call);
+        if (s.phase == Phase::open) socket->opened(call);
+      }
+      listener = socket;
     }
     socket->tell(line + "}");
   });
@@ -248,6 +258,11 @@
   tell(call, R"("type":"released","cause":)" + std::to_string(cause), true);
 }
 
+void Front::over(CallId call) {
+  const std::lock_guard hold(lock_);
+  listening_.erase(call);
+}
+
 // ---------------------------------------------------------------- centrales
 
 bool Front::owns(ServerId office) {
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -33,6 +33,7 @@
   bool stands(CallId call, const std::string& description) override;
   void refused(CallId call, core::Why why, Duration later) override;
   void released(CallId call, int cause) override;
+  void over(CallId call) override;
 
   // For centrales. What is listed elsewhere does not concern them.
   void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*offices*/) override {}
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -147,7 +147,7 @@
 
   void configure(bool offices, int bulletin) const {
     std::ofstream(dir() + "/config.json")
-        << R"({"name":"t","listen":")" << host(0) << R"(:5000",)"
+        << R"({"limits":{"sockets":)" << sockets_ << R"(},"name":"t","listen":")" << host(0) << R"(:5000",)"
         << (bulletin > 0 ? "\"bulletin\":\"" + host(0) + ":" + std::to_string(bulletin) + "\"," : "")
         << R"("known":{"no":1,"items":[{"no":1,"roster":{"snapshot":true,"endpoints":[)"
         << (offices ? known_ : "") << R"(]}}]},"settings":{"Balancers":1,"Classes":[
@@ -261,6 +261,16 @@
     }
   }
 
+  [[nodiscard]] int threads() const {  // of the program
+    std::ifstream status("/proc/" + std::to_string(child_) + "/status");
+    std::string word;
+    while (status >> word && word != "Threads:") continue;
+    int out = 0;
+    status >> out;
+    return out;
+  }
+
+  int sockets_ = 1024;
   std::map<std::string, net::Fd> offices_;
   std::map<std::string, StandIn> peers_;
   std::string known_;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -222,6 +222,73 @@
   )");
 }
 
+// Nothing, half a message and one without end: each is answered or closed in its time, whatever trickles in.
+TEST_F(Platform, PeersThatSayNothingWholeAreClosedInTime) {
+  start();
+  const Time until = net::now() + 3s;
+  StandIn silent = std::move(open("silent", "sip"));
+  StandIn half = std::move(open("half", "sip"));
+  half.raw("INVITE sip:00000000000000aa@net SIP/2.0\r\nX-Pad: ");
+  StandIn served = std::move(open("served", "sip"));
+  served.send("OPTIONS #1");
+  EXPECT_EQ(served.next().rfind("SIP/2.0 200", 0), 0U);
+  EXPECT_NE(silent.next(until).find("408"), std::string::npos);
+  EXPECT_EQ(silent.next(until), "end");
+  EXPECT_NE(half.next(until).find("408"), std::string::npos);
+  EXPECT_EQ(half.next(until), "end");
+  served.send("OPTIONS #1");  // may stay quiet as long as it likes
+  EXPECT_EQ(served.next().rfind("SIP/2.0 200", 0), 0U);
+}
+
+// The refusal of a body far too long arrives although most of the body is still on its way.
+TEST_F(Platform, RefusalSurvivesWhatIsStillBeingSent) {
+  start();
+  StandIn& c = open("c", "sip");
+  c.raw("INVITE sip:00000000000000aa@net SIP/2.0\r\nContent-Length: 60000000\r\n\r\n");
+  const std::string part(1 << 16, 'x');
+  for (int i = 0; i < 400; ++i) ASSERT_TRUE(net::write_all(net::Fd(::dup(c.fd())), part, soon())) << i;
+  EXPECT_EQ(c.next().rfind("SIP/2.0 400", 0), 0U);
+  EXPECT_EQ(c.next(), "end");
+}
+
+// Beyond the limit the silent go first, then the idle, and a call's own connection last: its release must
+// reach it.
+TEST_F(Platform, RoomIsMadeByThoseWithoutACall) {
+  sockets_ = 96;  // 57 callers
+  start();
+  play(kBothUp);
+  play(kCallStandsAtA);
+  std::vector<StandIn> others;
+  for (int i = 0; i < 150; ++i) {
+    others.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
+    if (i % 3 == 0) continue;  // says nothing
+    others.back().send("OPTIONS 0000000000000001");
+    ASSERT_EQ(others.back().next().rfind("SIP/2.0 200", 0), 0U) << i;
+  }
+  play(R"(
+    a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
+    c expect BYE #1 cause=16
+    d open sip
+    d send INVITE #2 Subject:voice X-Patience:3000 X-Facts:dest:0 | d
+    a expect START #2
+  )");
+}
+
+// It floods and reads nothing: it is cut off, and neither memory nor others pay for it.
+TEST_F(Platform, CallerThatReadsNothingIsCutOff) {
+  start();
+  play(kBothUp);
+  StandIn& slow = open("slow", "sip");
+  std::string many;
+  for (int i = 0; i < 400; ++i)
+    many += "OPTIONS sip:ping@net SIP/2.0\r\nVia: " + std::string(900, 'v') +
+            "\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n";
+  bool cut = false;
+  for (int i = 0; !cut && i < 200; ++i) cut = !net::write_all(net::Fd(::dup(slow.fd())), many, soon());
+  EXPECT_TRUE(cut);
+  play(kCallStandsAtA);
+}
+
 TEST_F(Platform, TestPassesOnlyWithOfficesKnown) {
   start(false);
   play(R"(
@@ -357,6 +424,74 @@
   )");
 }
 
+// Offices come and go for ever; what is kept for each must end with it.
+TEST_F(Platform, GoneOfficesLeaveNothingBehind) {
+  offices_["bulletin"] = net::listen_on({host(0), 2379});
+  start(true, "{\"on\":false}", 2379);
+  play(kBothUp);
+  StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  for (int no = 2; no < 62; ++no) {  // each new one at the address of the one before
+    std::string told = event(host(1), no, no % 2 == 0 ? 0 : 2);
+    told[15] = '\1';  // an id of its own
+    told[16] = static_cast<char>(no / 2);
+    feed.raw(told);
+  }
+  play(kCallStandsAtA);  // some set-ups later all threads but those of a, b and the callers have ended
+  play(R"(
+    a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
+    c expect BYE #1 cause=16
+  )");
+  for (const Time until = soon(); threads() > 14 && net::now() < until;) {
+    feed.raw(event(host(1), 62));
+    net::pause_until(net::now() + 10ms);
+  }
+  EXPECT_LE(threads(), 14);
+}
+
+// After spoilt bytes a connection is of no use: its set-ups broke, and the next go by a new one.
+TEST_F(Platform, SpoiltLinesEndTheConnection) {
+  start();
+  play(kBothUp);
+  for (const char* line :
+       {"noise", R"({"verb":"STARTED","tag":"#1","opts":{}})", R"({"verb":"WHAT","tag":"#1"})",
+        R"({"verb":"FINISH","tag":"#1","opts":{},"rc":1e9})", R"({"verb":"STARTED","tag":"7","blob":"d"})"})
+    play(std::string("a send ") + line + "\na expect end\na wait");
+  play(R"(
+    c open sip
+    c send INVITE #1 Subject:voice X-Patience:400 X-Facts:dest:0 | d
+    a expect START #1
+    a send {"verb":"STARTED","tag":"#1","opts":{},"blob":"cut short
+    a close
+    c expect SIP/2.0 50 #1
+  )");
+}
+
+// A second copy and an answer that nobody asked for change nothing.
+TEST_F(Platform, AnswersThatBelongToNoCallAreLeftOut) {
+  start();
+  play(kBothUp);
+  play(R"(
+    a send {"verb":"STARTED","tag":"#9","opts":{"load":"x0:nan;x1:-5e9"},"blob":"stray"}
+    a expect FINISH #9
+  )");
+  play(kCallStandsAtA);
+  play(R"(
+    a send {"verb":"STARTED","tag":"#1","opts":{},"blob":"again"}
+    a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
+    c expect BYE #1 cause=16
+  )");
+}
+
+// A set-up that had not left when its connection broke never ran: it goes on the next one.
+TEST_F(Platform, ResetOfAnIdleConnectionCostsNoCall) {
+  start();
+  play(kBothUp);
+  const linger reset{1, 0};
+  ::setsockopt(peers_.at("a").fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  play("a close\na wait");
+  play(kCallStandsAtA);
+}
+
 // Drained in the bulletin: the next set-up goes elsewhere.
 TEST_F(Platform, BulletinDrainsAnOffice) {
   offices_["bulletin"] = net::listen_on({host(0), 2379});
