Replace an office connection on which a set-up has heard nothing for 1 s

Checked: a probe logged what passed about each call. The first one lost stood at 8.25 s and its release came at 18.58 s, 20 ms after its connection had been replaced; in between the office's open connection said nothing for 10 s, while the other office served on. Ruled out: the callers' side (the BYE left at once, on the call's own connection) and the office (its next connection brought all). Wrong: OfficeLink::still_there never looked while a set-up was open on the connection, and under load there always is one. Now a set-up that left and heard nothing for 1 s has a new connection tried, as standing calls have after 2.5 s of quiet.

--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -35,6 +35,9 @@
 // Lines change all the time while calls stand, and the office tells: after so long without a word a new
 // connection is tried.
 constexpr Duration kQuiet = 2500ms;
+// A set-up that left and not a word since: an open connection can be as dead as the machine behind it.
+constexpr Duration kUnheard = 1s;
+constexpr Duration kLook = 250ms;  // so often it is looked at
 // Without a word and without a new connection for so long, the machine is gone and its calls with it. Their
 // callers must hear within 8 s.
 constexpr Duration kLost = 5500ms;
@@ -152,7 +155,10 @@
       const std::lock_guard hold(lock_);
       const auto found = open_.find(call);
       if (found == open_.end() || found->second.attempt != attempt) return false;
-      if (ready_ && net::now() < found->second.give_up) return found->second.left = true;
+      if (ready_ && net::now() < found->second.give_up) {
+        if (!waits_) waits_ = net::now();
+        return found->second.left = true;
+      }
       open_.erase(found);
     }
     core_.send_failed(call, attempt, Ending::not_sent);
@@ -223,6 +229,7 @@
       if (stopping_ || gone_ || net::to_text(to) != net::to_text(address_)) return;
       fd_ = std::move(fd);
       outbox_ = &outbox;
+      waits_.reset();
       was_up_ = true;
       dead_ = false;
       for (std::string& line : owed_) outbox.push(std::move(line));
@@ -255,19 +262,17 @@
   void read_lines() {
     net::Buffer buffer;
     Time heard = net::now();
-    Time look = heard + kQuiet;
     for (;;) {
       const std::string_view held = buffer.view();
       const std::size_t end = held.find('\n');
       if (end == std::string_view::npos) {
         if (buffer.full()) return;
-        const net::Got got = buffer.fill(fd_, look);
-        if (got == net::Got::closed) return;
+        const net::Got got = buffer.fill(fd_, net::now() + kLook);
+        if (got == net::Got::closed || (got == net::Got::late && !still_there(heard))) return;
         if (got == net::Got::data) {
           heard = net::now();
-          look = heard + kQuiet;
-        } else if (!still_there(heard, look)) {
-          return;
+          const std::lock_guard hold(lock_);
+          waits_.reset();
         }
         continue;
       }
@@ -282,13 +287,17 @@
     }
   }
 
-  // A quiet connection to a machine that vanished stays open for ever. Where calls stand there, a new one
-  // shows: it comes up and takes the place of the old, or the calls are over.
-  bool still_there(Time heard, Time& look) {
+  // A quiet connection stays open for ever, whether it alone is cut off or the machine has vanished. Where
+  // calls stand there or a set-up waits, a new one shows: it comes up and takes the place of the old, with
+  // the releases that the old one never brought, or the calls are over.
+  bool still_there(Time heard) {
     net::Address to;
     {
       const std::lock_guard hold(lock_);
-      if (!calls_stand_ || !open_.empty()) return look = net::now() + kQuiet, true;
+      const Time at = net::now();
+      const bool unheard = waits_ && at >= *waits_ + kUnheard;
+      const bool quiet = calls_stand_ && at >= heard + kQuiet;
+      if (!unheard && !quiet) return true;
       to = address_;
     }
     net::Dialled fresh = net::dial(to, net::now() + dial_limit_);
@@ -297,7 +306,6 @@
       return false;
     }
     if (fresh.how == net::Dial::refused) return false;
-    look = net::now() + 250ms;
     if (net::now() < heard + kLost) return true;
     net::log_line("office " + net::office_name(id_) + " is silent and out of reach: its calls are cut");
     {
@@ -364,7 +372,8 @@
   bool stopping_ = false;
   bool calls_stand_ = false;
   bool was_up_ = false;
-  bool dead_ = false;  // it died, and nothing has told of a new start
+  bool dead_ = false;          // it died, and nothing has told of a new start
+  std::optional<Time> waits_;  // since when a set-up that left has heard nothing on this connection
   std::uint64_t tags_ = 0;
   std::map<CallId, Open> open_;
   std::vector<std::string> owed_;  // releases for the next connection
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -482,6 +482,26 @@
   )");
 }
 
+// Its connection is cut off but open, while set-ups go on being tried there: a new one brings what the old
+// one did not.
+TEST_F(Platform, ReleaseOnADeadConnectionComesWithTheNextOne) {
+  start();
+  play(kBothUp);
+  play(kCallStandsAtA);
+  play(R"(
+    c send INVITE #2 Subject:voice X-Patience:9000 X-Facts:dest:0 | d
+    a expect START #2
+  )");
+  StandIn dead = std::move(peers_["a"]);
+  const Time from = net::now();
+  play(R"(
+    a wait
+    a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
+    c expect BYE #1 cause=16
+  )");
+  EXPECT_LT(net::now(), from + 2400ms);  // before a mere standing call would have it tried
+}
+
 // A set-up that had not left when its connection broke never ran: it goes on the next one.
 TEST_F(Platform, ResetOfAnIdleConnectionCostsNoCall) {
   start();
