Advise refused callers when to dial again, and answer all before the kill at a restart

Wrong: Controller always gave Refuse a retry_after of nought; main.cpp waited for open calls past the kill, which follows SIGTERM by the longest deadline (3 s at most) and 0.7 s; ws/front.cpp kept an entry for each centrale that ever registered.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -120,6 +120,8 @@
   void office_died(ServerId office);  // every call that stands there is cut
   void told(bool complete, std::vector<OfficeEntry> offices);
 
+  void refuse_all();  // whatever is still open, at once: the program's time is up
+
   [[nodiscard]] bool ready() const { return ready_; }  // a list is held and the module has taken it
   [[nodiscard]] std::size_t open_calls() const { return open_; }
   // For supervision and tests: what the table counted.
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -77,6 +77,25 @@
   post([this, complete, o = std::move(offices)] { list(complete, o); });
 }
 
+void Core::refuse_all() {
+  post([this] {
+    std::vector<CallId> open;
+    for (const auto& [call, record] : calls_) {
+      if (record.phase == Phase::open) open.push_back(call);
+    }
+    for (const CallId call : open) {
+      Record& record = calls_.at(call);
+      events_.emplace_back(CallerLeft{call});
+      abandon(record, Ending::cancelled, true);
+      if (record.attempts > 0) {  // it may have had an effect
+        finish(record, Phase::failed, Why::tried_in_vain, {});
+      } else {
+        finish(record, Phase::refused, Why::refused, {});
+      }
+    }
+  });
+}
+
 void Core::run() {
   std::vector<Task> batch;
   for (;;) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,10 @@
 
 // After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more.
 constexpr Duration kStillTaking = 750ms;
+// The kill follows the longest deadline, counted as this where it is longer, by 0.7 s: before that, what
+// still waits is refused, for a call that the kill finds unanswered is lost.
+constexpr Duration kLongestCounted = 3s;
+constexpr Duration kBeforeKilled = 350ms;
 
 sigset_t signals() {
   sigset_t out;
@@ -56,7 +60,7 @@
   }
 }
 
-void wait_for_end(const core::Core& core, const std::function<void()>& reload_now) {
+void wait_for_end(core::Core& core, const Settings& settings, const std::function<void()>& reload_now) {
   const sigset_t awaited = signals();
   int which = SIGHUP;
   for (;;) {
@@ -65,9 +69,15 @@
     reload_now();
   }
   net::log_line("asked to end: answering what was taken");
-  const Time until = net::now() + kStillTaking;
+  Duration longest{};
+  for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
+  const Time asked = net::now();
+  const Time last = asked + std::min(longest, kLongestCounted) + kBeforeKilled;
   // A step is short, so that the end follows soon after the last answer.
-  while (net::now() < until || core.open_calls() > 0) net::pause_until(net::now() + 10ms);
+  while (net::now() < asked + kStillTaking || core.open_calls() > 0) {
+    if (net::now() >= last) core.refuse_all();
+    net::pause_until(net::now() + 10ms);
+  }
 }
 
 int run(int argc, char** argv) {
@@ -103,7 +113,7 @@
   if (node.listen) sip.open(*node.listen);
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
-  wait_for_end(core, [&] { reload(node, bulletin, list); });
+  wait_for_end(core, node.settings, [&] { reload(node, bulletin, list); });
   sip.close_all();
   websocket.close_all();
   if (zone) zone->close_all();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -64,6 +64,8 @@
 constexpr double kLeast =
     4.0;  // set-ups of all gateways together, taken for before any is seen; not measured
 
+constexpr int kLateAims = 2;  // callers whose aim is lost are asked to stay away for about so many
+
 // A class of which a smaller part stood than this is badly served, once so many tries were seen.
 constexpr double kPressed = 0.8;
 constexpr double kSeen = 20.0;
@@ -186,10 +188,10 @@
     }
     call.level = level_by_worth(call);
     note_shares();
-    if (!known || found_busy_just_now(told.number)) return refuse_unqueued(told.call);
+    if (!known || found_busy_just_now(told.number)) return refuse_unqueued(call);
     if (!rough_admission(call)) {
       remember_turned_away(call);
-      return refuse_unqueued(told.call);
+      return refuse_unqueued(call);
     }
     constraint_control(call);
     Call& kept = calls_.emplace(told.call, call).first->second;
@@ -782,12 +784,29 @@
 
   // ------------------------------------------------------------ final answers
 
-  void refuse_unqueued(CallId id) { out_->emplace_back(Refuse{id, Duration{}}); }
+  void refuse_unqueued(const Call& call) { out_->emplace_back(Refuse{call.told.call, come_back(call)}); }
+
+  // When to dial again, where the settings allow such advice: once the first server open to the call is due
+  // to have room. If that is too late for its aim there is no hurry: such callers are spread over some aims,
+  // for what they cost now would be lost by others.
+  [[nodiscard]] Duration come_back(const Call& call) {
+    if (!set_.may_advise_retry || call.told.call_class >= set_.classes.size()) return Duration{};
+    Duration room = set_.retry_advice_cap;
+    for (const auto& [id, s] : servers_) {
+      if (!open_to(call, s)) continue;
+      const Duration queue =
+          from_seconds(static_cast<double>(s.queue.count_to(call.level)) * seconds(delay(s)));
+      room = std::min(room, std::max({queue, s.rests_until - now_, s.no_lines_until - now_}));
+    }
+    room = std::max(room, look_again());
+    const bool in_time = !call.late && now_ + room + look_again() < due(call);
+    return std::min(set_.retry_advice_cap, in_time ? room : std::max(room, spread(kLateAims * call.aim)));
+  }
 
   void refuse(Call& call) {
     if (call.may_have_run) return fail(call);
     end(call);
-    refuse_unqueued(call.told.call);
+    refuse_unqueued(call);
     calls_.erase(call.told.call);
   }
 
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -369,8 +369,8 @@
     {
       const std::lock_guard hold(lock_);
       const auto found = centrales_.find(entry.entry.server);
-      if (found == centrales_.end() || !found->second.socket.expired()) return;
-      found->second.owed.clear();
+      if (found == centrales_.end() || found->second.socket.lock()) return;
+      centrales_.erase(found);
     }
     entry.entry.state = ServerState::gone;
     list_.told(core::Source::registered, false, {entry});
