Start a connection's writer only when needed, and retire none with a message in hand

Checked: the processor was used up (0.21 of 0.2 a second) on one controller at a time, 2.2 s in all against 0.5 on the others. CPU by kind of thread: 55 ms core, 90 ms readers and writers, 86 ms accepting of 276 ms counted, so no flood of work. A profile: get_signal, do_signal_stop, poll and futex restarts; the share is held by stopping and continuing the program, and each continuation wakes all of some 500 threads, which uses the share up again. Ruled out: the module, parsing, a spinning link. Wrong: Peer::begin started two threads a connection, the writer mostly idle; Door retired a connection whose reader had taken bytes and not yet opened the set-up, or whose answer was queued; its end came by two threads' turns after its reading had ended, so that what came between was lost; 0.75 s after SIGTERM was too short when late.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,8 +24,9 @@
 using namespace std::chrono_literals;
 using namespace reeltack;
 
-// After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more.
-constexpr Duration kStillTaking = 750ms;
+// After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more; where the processor is short,
+// what they send may be read much later.
+constexpr Duration kStillTaking = 1500ms;
 // The kill follows the longest deadline, counted as this where it is longer, by 0.7 s: before that, what
 // still waits is refused, for a call that the kill finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -23,29 +23,54 @@
 }  // namespace
 
 void Peer::begin() {
-  const auto self = shared_from_this();  // alive until both threads are done
-  writer_ = Thread([self] { self->outbox_.write_to(self->fd_); });
+  const auto self = shared_from_this();  // alive until the thread is done
   reader_ = Thread([self] { self->live(); });
 }
+// Most answers leave at once, so that most connections never have a writer: each thread costs processor time
+// whenever the whole program is held to its share and goes on.
+bool Peer::need_writer() {
+  const std::lock_guard hold(lock_);
+  if (has_writer_ || ends_) return true;
+  try {
+    writer_ = Thread([this] { outbox_.write_to(fd_); });  // joined by the reader
+  } catch (const std::runtime_error& error) {
+    log_line(error.what());
+    return false;
+  }
+  return has_writer_ = true;
+}
 void Peer::live() {
   read();
   std::set<CallId> open;
   {
     std::unique_lock hold(lock_);
     // What crossed our own closing has been taken, and each such set-up gets its answer in its time.
-    if (retiring_) answered_.wait(hold, [this] { return open_.empty(); });
+    if (closing_) answered_.wait(hold, [this] { return open_.empty(); });
     open.swap(open_);
   }
   outbox_.finish();
   left(open);
+  bool written = false;
+  {
+    const std::lock_guard hold(lock_);
+    ends_ = true;
+    written = has_writer_;
+  }
+  if (!written) outbox_.write_to(fd_);
   if (drains_) drain(fd_, now() + kDrain, kMostDrained);
   writer_.join();
   over_ = true;
 }
 bool Peer::push(std::string bytes, std::uint64_t tag, Outbox::Check check) {
-  if (outbox_.push(std::move(bytes), tag, std::move(check))) return true;
-  cut();
-  return false;
+  bool taken = false;
+  if (check || tag != 0) {
+    taken = outbox_.push(std::move(bytes), tag, std::move(check)) && need_writer();
+  } else {
+    const Outbox::Sent sent = outbox_.send(fd_, std::move(bytes));
+    taken = sent == Outbox::Sent::whole || (sent == Outbox::Sent::queued && need_writer());
+  }
+  if (!taken) cut();
+  return taken;
 }
 void Peer::cut() {
   outbox_.abandon();
@@ -72,12 +97,24 @@
 }
 Peer::Spare Peer::spare() const {
   const std::lock_guard hold(lock_);
-  if (over_ || retiring_ || !open_.empty() || fd_.unread()) return Spare::kept;
+  return spare_now();
+}
+// Kept is all that has a set-up open, has said what is not yet read or taken, or has not been written its
+// answer: where the processor is short, a thread may come to these late.
+Peer::Spare Peer::spare_now() const {
+  if (over_ || retiring_ || closing_ || !waiting_ || !open_.empty() || outbox_.behind() || fd_.unread())
+    return Spare::kept;
   if (!served_) return heard() + kShy < now() ? Spare::silent : Spare::kept;
   return standing_.empty() ? Spare::idle : Spare::standing;
 }
 void Peer::retire() {
+  const std::lock_guard hold(lock_);
+  if (spare_now() == Spare::kept) return;
   retiring_ = true;
+  fd_.shut();
+}
+void Peer::close() {
+  closing_ = true;
   fd_.shut_read();
 }
 Time Peer::due() const {
@@ -88,7 +125,18 @@
   const bool fresh = buffer_.view().empty();
   // Nothing more is taken from a peer that leaves its answers unread: they would pile up here.
   if (!outbox_.wait_for_room(now() + kWhole)) return Got::closed;
-  const Got got = buffer_.fill(fd_, std::min(look, due()));
+  {
+    const std::lock_guard hold(lock_);
+    waiting_ = fresh;
+  }
+  const bool ready = readable(fd_, std::min(look, due()));
+  {
+    const std::lock_guard hold(lock_);
+    waiting_ = false;
+    if (retiring_) return Got::closed;
+  }
+  if (!ready) return Got::late;
+  const Got got = buffer_.fill(fd_, kNever);
   if (got == Got::data) {
     const Time at = now();
     heard_ = at.time_since_epoch().count();
@@ -122,7 +170,7 @@
     const std::lock_guard hold(lock_);
     all.swap(peers_);
   }
-  for (const auto& p : all) p->retire();
+  for (const auto& p : all) p->close();
   for (const auto& p : all) p->join();
 }
 
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -15,7 +15,8 @@
 
 namespace reeltack::net {
 
-// One accepted connection: a thread that reads, one that writes. Fronts derive from it.
+// One accepted connection: a thread that reads and, from when a peer first takes no more at once, one that
+// writes. Fronts derive from it.
 class Peer : public std::enable_shared_from_this<Peer> {
  public:
   explicit Peer(Fd fd) : fd_(std::move(fd)) {}
@@ -41,7 +42,10 @@
   enum class Spare { silent, idle, standing, kept };
   [[nodiscard]] Spare spare() const;
   [[nodiscard]] Time heard() const { return Time{Duration{heard_.load()}}; }
-  void retire();  // ends it for room: reads on to what has come already, answers that, and closes
+  // Ends it for room, at once: what crosses the end is sent again by its caller. Only if it still can be
+  // spared.
+  void retire();
+  void close();  // reads on to what has come already, answers that, and ends
   [[nodiscard]] bool retiring() const { return retiring_; }
 
  protected:
@@ -64,6 +68,8 @@
 
  private:
   void live();
+  bool need_writer();
+  [[nodiscard]] Spare spare_now() const;  // with the lock held
   Outbox outbox_;
   mutable std::mutex lock_;
   std::condition_variable answered_;
@@ -72,9 +78,13 @@
   const Time connected_ = now();
   Time begun_ = connected_;  // of the message in the buffer
   bool drains_ = false;
+  bool has_writer_ = false;
+  bool ends_ = false;                // the reader writes what is left itself
+  bool waiting_ = false;             // the reader holds nothing of the peer's, and waits for more
   std::atomic<bool> served_{false};  // a whole message came
   std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
   std::atomic<bool> retiring_{false};
+  std::atomic<bool> closing_{false};
   std::atomic<bool> over_{false};
   Thread writer_;
   Thread reader_;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -187,6 +187,8 @@
   return true;
 }
 
+bool readable(const Fd& from, Time by) { return wait_for(from.get(), POLLIN, by); }
+
 void drain(const Fd& from, Time by, std::size_t most) {
   constexpr std::size_t kStep = std::size_t{256} * 1024;
   for (std::size_t dropped = 0; dropped < most && wait_for(from.get(), POLLIN, by);) {
@@ -229,6 +231,21 @@
   return true;
 }
 
+Outbox::Sent Outbox::send(const Fd& to, std::string bytes) {
+  const std::lock_guard hold(lock_);
+  if (closed_ || finishing_ || queued_ + bytes.size() > kMostQueued) return Sent::refused;
+  if (items_.empty() && !busy_) {
+    const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) return Sent::refused;
+    if (n == static_cast<ssize_t>(bytes.size())) return Sent::whole;
+    bytes.erase(0, static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+  }
+  queued_ += bytes.size();
+  items_.push_back({std::move(bytes), 0, {}});
+  filled_.notify_one();
+  return Sent::queued;
+}
+
 bool Outbox::withdraw(std::uint64_t tag) {
   const std::lock_guard hold(lock_);
   const auto found =
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -73,6 +73,7 @@
 Dialled dial(const Address& to, Time deadline);
 Fd listen_on(const Address& at);                                         // throws std::runtime_error
 bool write_all(const Fd& to, std::string_view bytes, Time by = kNever);  // false: over, or not read in time
+bool readable(const Fd& from, Time by);                                  // something has come, or the end
 void drain(const Fd& from, Time by, std::size_t most);  // reads and drops, until the end or a bound
 void pause_until(Time at);
 Fd accept_one(const Fd& listener, Time deadline);
@@ -99,6 +100,9 @@
   using Check = std::function<bool()>;
   // False: closed, or the peer does not read and the queue is full; the connection should end then.
   bool push(std::string bytes, std::uint64_t tag = 0, Check check = {});
+  enum class Sent { whole, queued, refused };
+  // Writes what goes without waiting, if nothing is before it; the rest is queued and needs a writer.
+  Sent send(const Fd& to, std::string bytes);
   bool withdraw(std::uint64_t tag);  // true: it had not begun to leave and never will
   void write_to(const Fd& fd);       // the writer's whole life
   void finish();                     // write what is queued, then end
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -1,12 +1,15 @@
 // The parsers and readers: what is taken, what is refused, and what the refusal names.
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include <cstdio>
 #include <fstream>
+#include <future>
 
 #include "config/config.h"
 #include "dns/updates.h"
+#include "net/door.h"
 #include "platform/bulletin.h"
 #include "platform/offices.h"
 #include "platform/sip.h"
@@ -302,5 +305,41 @@
   EXPECT_NE(zone.find("other.t.example.", dns::kA), nullptr);
 }
 
+// A connection whose reader holds a message until it is told to go on.
+class HeldPeer final : public net::Peer {
+ public:
+  using net::Peer::Peer;
+  std::promise<void> in_hand, go_on;
+
+ protected:
+  void read() override {
+    if (more() != net::Got::data) return;
+    in_hand.set_value();
+    go_on.get_future().wait();
+    whole();
+    push("answer");
+  }
+  void left(const std::set<CallId>& /*open*/) override {}
+};
+
+// Found on rf5f9da: with the processor short, a reader came late to what it had taken off its socket, and its
+// connection was closed for room as an idle one.
+TEST(Door, PeerWithAMessageInHandIsNotClosedForRoom) {
+  int ends[2];
+  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+  const net::Fd far(ends[1]);
+  const auto peer = std::make_shared<HeldPeer>(net::Fd(ends[0]));
+  peer->begin();
+  ASSERT_TRUE(net::write_all(far, "message"));
+  peer->in_hand.get_future().wait();
+  net::pause_until(net::now() + std::chrono::milliseconds(300));  // longer than a shy peer is given
+  peer->retire();
+  EXPECT_FALSE(peer->retiring());
+  peer->go_on.set_value();
+  char told[6];
+  EXPECT_EQ(::recv(far.get(), told, sizeof told, MSG_WAITALL), 6);
+  peer->join();
+}
+
 }  // namespace
 }  // namespace reeltack::test
