--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -356,6 +356,7 @@
   start(true, "{\"on\":false}", 2379);
   play(kBothUp);
   StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  EXPECT_EQ(feed.next(), std::string("\0\0\0\0\0\0\0\1", 8));
   feed.raw(event(host(1), 2, 1) + event(host(1), 3, 0) + event(host(1), 2, 1) + event(host(1), 3, 0) +
            event(host(1), 2, 1));
   feed.close();
@@ -429,19 +430,23 @@
   start(true, "{\"on\":false}", 2379);
   play(kBothUp);
   StandIn feed(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  EXPECT_EQ(feed.next(), std::string("\0\0\0\0\0\0\0\1", 8));
   for (int no = 2; no < 62; ++no) {  // each new one at the address of the one before
     std::string told = event(host(1), no, no % 2 == 0 ? 0 : 2);
     told[15] = '\1';  // an id of its own
     told[16] = static_cast<char>(no / 2);
     feed.raw(told);
   }
+  feed.close();  // it resumes once it has taken them all
+  StandIn again(StandIn::Kind::raw, net::accept_one(offices_["bulletin"], soon()));
+  EXPECT_EQ(again.next(), std::string("\0\0\0\0\0\0\0\x3d", 8));
   play(kCallStandsAtA);  // some set-ups later all threads but those of a, b and the callers have ended
   play(R"(
     a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
     c expect BYE #1 cause=16
   )");
   for (const Time until = soon(); threads() > 14 && net::now() < until;) {
-    feed.raw(event(host(1), 62));
+    again.raw(event(host(1), 62));
     net::pause_until(net::now() + 10ms);
   }
   EXPECT_LE(threads(), 14);
