--- a/src/net/json.cpp
+++ b/src/base/json.cpp
@@ -1,9 +1,9 @@
-#include "net/json.h"
+#include "base/json.h"
 
 #include <charconv>
 #include <cmath>
 
-namespace reeltack::net {
+namespace reeltack::base {
 
 std::optional<double> read_number(std::string_view text) {
   double value = 0.0;
@@ -250,4 +250,4 @@
   return out += '"';
 }
 
-}  // namespace reeltack::net
+}  // namespace reeltack::base
--- a/src/net/json.h
+++ b/src/base/json.h
@@ -12,7 +12,7 @@
 #include <variant>
 #include <vector>
 
-namespace reeltack::net {
+namespace reeltack::base {
 
 class JsonError : public std::runtime_error {
  public:
@@ -49,4 +49,4 @@
 bool is_utf8(std::string_view text);
 std::optional<double> read_number(std::string_view text);
 
-}  // namespace reeltack::net
+}  // namespace reeltack::base
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -11,7 +11,7 @@
 namespace reeltack::config {
 namespace {
 
-using net::Json;
+using base::Json;
 
 // An object of the configuration and where it stands, so that every message can name the key.
 class Section {
@@ -53,9 +53,9 @@
     if (found != nullptr && !found->boolean()) fail(key, "must be true or false");
     return found == nullptr ? fallback : *found->boolean();
   }
-  [[nodiscard]] std::optional<net::Address> address(const std::string& key) const {
+  [[nodiscard]] std::optional<base::Address> address(const std::string& key) const {
     if (find(key) == nullptr) return std::nullopt;
-    auto out = net::parse_address(text(key));
+    auto out = base::parse_address(text(key));
     if (!out) fail(key, "must be an address as 127.0.0.1:2905, not '" + text(key) + "'");
     return out;
   }
@@ -102,12 +102,12 @@
 
 core::OfficeEntry read_endpoint(const Section& at) {
   core::OfficeEntry out;
-  const auto id = net::parse_office_name(at.text("name"));
+  const auto id = base::parse_office_name(at.text("name"));
   if (!id) at.fail("name", "must be s- and 8 hex digits, not '" + at.text("name") + "'");
   out.entry.server = *id;
   const auto address = at.address("address");
   if (!address) at.fail("address", "is missing");
-  out.address = net::to_text(*address);
+  out.address = base::to_text(*address);
   const std::string state = at.text("status");
   if (state == "in_service") {
     out.entry.state = ServerState::ready;
@@ -162,7 +162,7 @@
     Json out = Json::parse(text);
     if (out.object() == nullptr) throw ConfigError(path + ": must hold a JSON object");
     return out;
-  } catch (const net::JsonError& error) {
+  } catch (const base::JsonError& error) {
     throw ConfigError(path + ": " + error.what());
   }
 }
@@ -241,7 +241,9 @@
 }
 
 std::vector<std::string> changed_but_kept(const Node& running, const Node& read) {
-  const auto text = [](const std::optional<net::Address>& a) { return a ? net::to_text(*a) : std::string(); };
+  const auto text = [](const std::optional<base::Address>& a) {
+    return a ? base::to_text(*a) : std::string();
+  };
   std::vector<std::string> out;
   if (running.name != read.name) out.emplace_back("name");
   if (text(running.listen) != text(read.listen)) out.emplace_back("listen");
@@ -257,7 +259,7 @@
   Node out = read_node(read_json(path), path);
   if (const char* name = std::getenv("PROXY_NAME")) out.name = name;
   if (const char* listen = std::getenv("PROXY_LISTEN")) {
-    out.listen = net::parse_address(listen);
+    out.listen = base::parse_address(listen);
     if (!out.listen)
       throw ConfigError("PROXY_LISTEN: must be an address as 127.0.0.1:2905, not '" + std::string(listen) +
                         "'");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "base/json.h"
 #include "config/settings.h"
 #include "core/core.h"
-#include "net/json.h"
 
 namespace reeltack::config {
 
@@ -30,8 +30,8 @@
 // One controller, as the platform (or a written application configuration) tells it.
 struct Node {
   std::string name = "reeltack";
-  std::optional<net::Address> listen;    // where SIP callers connect
-  std::optional<net::Address> bulletin;  // none: the offices come from elsewhere
+  std::optional<base::Address> listen;    // where SIP callers connect
+  std::optional<base::Address> bulletin;  // none: the offices come from elsewhere
   std::uint64_t seed = 1;
   Limits limits;
   std::uint64_t known_no = 0;
@@ -44,18 +44,18 @@
 
 // Our own deploy file: the second front and the zone. All off where nothing says otherwise.
 struct Fronts {
-  std::optional<net::Address> websocket;  // clients at /calls, centrales at /centrales
+  std::optional<base::Address> websocket;  // clients at /calls, centrales at /centrales
   std::size_t websocket_connections = 128;
   std::vector<std::string> websocket_origins;  // of browsers; none: any
-  std::optional<net::Address> updates;         // dynamic updates of the zone
+  std::optional<base::Address> updates;        // dynamic updates of the zone
   std::string zone_file;
   std::string zone_service;  // the owner name whose SRV records are the offices
 };
 
 std::string read_file(const std::string& path);
-net::Json read_json(const std::string& path);
-Node read_node(const net::Json& json, const std::string& source);
-Fronts read_fronts(const net::Json& json, const std::string& source);
+base::Json read_json(const std::string& path);
+Node read_node(const base::Json& json, const std::string& source);
+Fronts read_fronts(const base::Json& json, const std::string& source);
 
 // The keys that differ and that a running program does not take anew.
 std::vector<std::string> changed_but_kept(const Node& running, const Node& read);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -21,7 +21,7 @@
 #include <variant>
 #include <vector>
 
-#include "net/net.h"
+#include "base/base.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::core {
@@ -206,7 +206,7 @@
   std::deque<std::pair<Time, CallId>> ended_;  // records kept of ended calls, and until when
   std::map<ServerId, ServerEntry> listed_;
   std::map<ServerId, int> standing_;
-  net::Thread thread_;
+  base::Thread thread_;
 };
 
 }  // namespace reeltack::core
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -33,7 +33,7 @@
   } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
     timers_.emplace(timer->at, Due{Due::Kind::module, static_cast<std::uint64_t>(timer->token), 0, {}});
   } else if (const auto* line = std::get_if<LogLine>(&action)) {
-    net::log_line("module: " + line->text);
+    base::log_line("module: " + line->text);
   }
   // Probing, telling peers and asking for the list are not permitted or not needed here: the list is pushed.
 }
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -12,8 +12,8 @@
 void Core::start(OfficeSide& offices, CallerSide* strays) {
   offices_ = &offices;
   strays_ = strays;
-  now_ = net::now();
-  thread_ = net::Thread([this] { run(); });
+  now_ = base::now();
+  thread_ = base::Thread([this] { run(); });
 }
 
 void Core::stop() {
@@ -113,7 +113,7 @@
       batch.swap(inbox_);
     }
     // A clock set back must not reach the module, whose time never does.
-    now_ = std::max(now_, net::now());
+    now_ = std::max(now_, base::now());
     for (Task& task : batch) task();
     batch.clear();
     take_timers();
--- a/src/dns/updates.h
+++ b/src/dns/updates.h
@@ -9,6 +9,7 @@
 #include "core/office_list.h"
 #include "dns/zone.h"
 #include "net/door.h"
+#include "net/net.h"
 
 namespace reeltack::dns {
 
--- a/src/dns/zone.cpp
+++ b/src/dns/zone.cpp
@@ -17,7 +17,7 @@
   put16(out, v);
 }
 std::uint32_t get(std::string_view data, std::size_t at, std::size_t bytes) {
-  return static_cast<std::uint32_t>(net::big_endian(data, at, bytes));
+  return static_cast<std::uint32_t>(base::big_endian(data, at, bytes));
 }
 std::optional<std::uint64_t> whole(std::string_view text, std::uint64_t most) {
   std::uint64_t out = 0;
@@ -474,7 +474,7 @@
     core::OfficeEntry office;
     const std::uint32_t port = get(data, 4, 2);
     office.address = data_text(kA, *addresses->data.begin()) + ":" + std::to_string(port);
-    const auto named = net::parse_office_name(target.substr(0, target.find('.')));
+    const auto named = base::parse_office_name(target.substr(0, target.find('.')));
     office.entry.server = named ? *named : ServerId{hash_of(target + std::to_string(port))};
     office.entry.capacity = std::max<double>(get(data, 2, 2), 1.0);
     if (const RecordSet* notes = find(target, kTxt)) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -1,27 +1,24 @@
-// Sockets, threads and buffers under every front.
+// Sockets and buffers under every front.
 //
-// Owns: descriptors and threads (RAII), the Unix clock, the one input buffer of a connection, and its bounded
+// Owns: descriptors (RAII), the one input buffer of a connection, and its bounded
 //   queue of output with the writer that empties it.
 // Must never: know a message, decide anything, or take a span of time where an absolute deadline can be had.
 #pragma once
 
-#include <pthread.h>
-
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "reeltack/controller.h"
+#include "base/base.h"
 
 namespace reeltack::net {
 
-Time now();  // the Unix clock
-inline constexpr Time kNever = Time::max();
+using namespace base;  // what is no socket, under the names by which the wires know it
+
 inline constexpr std::size_t kMostMessage = std::size_t{16} * 1024;
 
 class Fd {
@@ -43,28 +40,6 @@
   int fd_ = -1;
 };
 
-// A thread with a small stack, joined at the end of its life.
-class Thread {
- public:
-  Thread() = default;
-  explicit Thread(std::function<void()> body);
-  Thread(Thread&& other) noexcept;
-  Thread& operator=(Thread&& other) noexcept;
-  ~Thread() { join(); }
-  void join();
-
- private:
-  pthread_t id_{};
-  bool running_ = false;
-};
-
-struct Address {
-  std::string host;
-  std::uint16_t port = 0;
-};
-std::optional<Address> parse_address(std::string_view text);  // host:port, IPv4
-std::string to_text(const Address& address);
-
 enum class Dial { up, refused, failed };
 struct Dialled {
   Fd fd;
@@ -129,13 +104,4 @@
   bool closed_ = false;
 };
 
-std::uint64_t big_endian(std::string_view data, std::size_t at, std::size_t bytes);  // unsigned, to 8 bytes
-std::string hex16(std::uint64_t value);
-std::optional<std::uint64_t> parse_hex16(std::string_view text);  // 16 lower-case digits
-std::string office_name(ServerId id);                             // s-XXXXXXXX
-std::optional<ServerId> parse_office_name(std::string_view text);
-// "x0:12;x1:40" as name and figure, in order; what is malformed is left out.
-void each_figure(std::string_view text, const std::function<void(std::string_view, double)>& take);
-void log_line(const std::string& text);
-
 }  // namespace reeltack::net
--- a/src/platform/bulletin.h
+++ b/src/platform/bulletin.h
@@ -7,6 +7,7 @@
 #include <atomic>
 
 #include "core/office_list.h"
+#include "net/net.h"
 
 namespace reeltack::platform {
 
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -4,7 +4,7 @@
 #include <atomic>
 #include <list>
 
-#include "net/json.h"
+#include "base/json.h"
 
 namespace reeltack::platform {
 
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "core/core.h"
+#include "net/net.h"
 
 namespace reeltack::platform {
 
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "net/json.h"
+#include "base/json.h"
 
 namespace reeltack::platform {
 namespace {
--- a/src/ws/frames.cpp
+++ b/src/ws/frames.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <array>
 
-#include "net/json.h"
+#include "base/json.h"
 #include "net/net.h"
 
 namespace reeltack::ws {
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -8,10 +8,10 @@
 #include <map>
 #include <unordered_map>
 
+#include "base/json.h"
 #include "core/core.h"
 #include "core/office_list.h"
 #include "net/door.h"
-#include "net/json.h"
 
 namespace reeltack::ws {
 
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -3,8 +3,8 @@
 
 #include <set>
 
+#include "base/json.h"
 #include "dns/zone.h"
-#include "net/json.h"
 #include "scenario.h"
 
 namespace reeltack::test {
--- a/tools/config_tool.cpp
+++ b/tools/config_tool.cpp
@@ -35,13 +35,13 @@
   const std::size_t two = one == std::string::npos ? one : spec.find(':', one + 1);
   if (one == 0 || two == std::string::npos)
     throw UsageError("--class: must be NAME:AIM_MS:WORTH, not '" + spec + "'");
-  const auto aim = net::read_number(spec.substr(one + 1, two - one - 1));
-  const auto worth = net::read_number(spec.substr(two + 1));
+  const auto aim = base::read_number(spec.substr(one + 1, two - one - 1));
+  const auto worth = base::read_number(spec.substr(two + 1));
   if (!aim || *aim < 1.0 || *aim > 3.6e6)
     throw UsageError("--class: AIM_MS must be a number from 1 to 3600000");
   if (!worth || *worth <= 0.0) throw UsageError("--class: WORTH must be a number above 0");
   const auto ns = static_cast<long long>(*aim * 1.0e6);
-  return "{\"Name\": " + net::quoted(spec.substr(0, one)) + ", \"GoalTimeNs\": " + std::to_string(ns) +
+  return "{\"Name\": " + base::quoted(spec.substr(0, one)) + ", \"GoalTimeNs\": " + std::to_string(ns) +
          ", \"DeadlineNs\": " + std::to_string(6 * ns) + ", \"Points\": " + spec.substr(two + 1) +
          ", \"LateValue\": 0.25, \"Effect\": \"repeatable\"}";
 }
@@ -58,7 +58,7 @@
   if (fronts_file.empty()) return;
   const config::Fronts fronts = config::read_fronts(config::read_json(fronts_file), fronts_file);
   std::cout << fronts_file << ": good, WebSocket "
-            << (fronts.websocket ? net::to_text(*fronts.websocket) : "off") << "\n";
+            << (fronts.websocket ? base::to_text(*fronts.websocket) : "off") << "\n";
   if (fronts.zone_file.empty()) return;
   const dns::Zone zone = dns::Zone::read(config::read_file(fronts.zone_file), fronts.zone_file);
   std::vector<std::string> missing;
@@ -75,8 +75,8 @@
   std::string classes;
   for (const std::string& spec : w.classes)
     classes += (classes.empty() ? "" : ",\n      ") + class_json(spec);
-  std::string node = "{\n  \"name\": " + net::quoted(w.name) + ",\n";
-  if (!w.listen.empty()) node += "  \"listen\": " + net::quoted(w.listen) + ",\n";
+  std::string node = "{\n  \"name\": " + base::quoted(w.name) + ",\n";
+  if (!w.listen.empty()) node += "  \"listen\": " + base::quoted(w.listen) + ",\n";
   node +=
       "  \"seed\": \"0000000000000001\",\n"
       "  \"limits\": {\"cores\": 1.0, \"memory_mb\": 192, \"sockets\": 1024},\n"
@@ -89,11 +89,11 @@
       "\"MaxRetryAfterNs\": 2000000000, \"DialTimeoutNs\": 500000000},\n"
       "    \"TickNs\": 5000000\n  }\n}\n";
   std::string fronts = "{\n  \"websocket\": {\"on\": " + std::string(w.websocket.empty() ? "false" : "true");
-  if (!w.websocket.empty()) fronts += ", \"listen\": " + net::quoted(w.websocket);
+  if (!w.websocket.empty()) fronts += ", \"listen\": " + base::quoted(w.websocket);
   fronts += "},\n  \"zone\": {\"on\": " + std::string(w.zone.empty() ? "false" : "true");
   if (!w.zone.empty())
-    fronts += ", \"file\": " + net::quoted(w.zone) + ", \"service\": " + net::quoted(w.service);
-  if (!w.updates.empty()) fronts += ", \"updates\": " + net::quoted(w.updates);
+    fronts += ", \"file\": " + base::quoted(w.zone) + ", \"service\": " + base::quoted(w.service);
+  if (!w.updates.empty()) fronts += ", \"updates\": " + base::quoted(w.updates);
   fronts += "}\n}\n";
   write_checked(dir + "/config.json", node);
   write_checked(dir + "/fronts.json", fronts);
