--- /dev/null
+++ b/src/standin/controller.cpp
@@ -0,0 +1,170 @@
+#include "standin/controller.h"
+
+#include <fcntl.h>
+#include <sched.h>
+#include <signal.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "base/json.h"
+
+namespace reeltack::standin {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string ns(Duration d) { return std::to_string(d.count()); }
+
+void write(const std::string& path, const std::string& text) {
+  std::ofstream out(path, std::ios::trunc);
+  if (!(out << text) || !out.flush()) throw std::runtime_error(path + ": cannot be written");
+}
+
+std::string read(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+std::string config(const ControllerSetup& s) {
+  std::string classes;
+  for (const ControllerClass& c : s.classes)
+    classes += std::string(classes.empty() ? "" : ",") + R"({"Name":)" + base::quoted(c.name) +
+               ",\"GoalTimeNs\":" + ns(c.aim) + ",\"DeadlineNs\":" + ns(c.deadline) +
+               ",\"Points\":" + std::to_string(c.worth) + ",\"LateValue\":" + std::to_string(c.late_worth) +
+               R"(,"Effect":"repeatable"})";
+  return R"({"name":)" + base::quoted(s.name) + R"(,"listen":")" + base::to_text(s.sip) + "\"," +
+         (s.bulletin.empty() ? std::string() : R"("bulletin":")" + s.bulletin + "\",") +
+         R"("seed":"0000000000000007","limits":{"cores":1.0,"memory_mb":)" + std::to_string(s.memory_mb) +
+         ",\"sockets\":" + std::to_string(s.sockets) + "}," +
+         (s.known.empty() ? std::string() : "\"known\":" + s.known + ",") + R"("settings":{"Balancers":)" +
+         std::to_string(s.gateways) + R"(,"Classes":[)" + classes +
+         R"(],"Domain":{"Shape":"pools","ReleaseGuardNs":300000000},"Obligations":{"ColdFrom":)" +
+         std::to_string(s.cold_from) + ",\"RampTimeNs\":" + ns(s.ramp) +
+         ",\"FallMultiple\":" + std::to_string(s.fall_multiple) +
+         R"(,"FallNs":1000000000},"PolicyLimits":{"AttemptsCap":5,"Cancel":true,"RetryAfter":true,"MaxRetryAfterNs":2000000000,"DialTimeoutNs":500000000},"TickNs":5000000}})";
+}
+
+}  // namespace
+
+std::string own_host(int last) {
+  const int pid = ::getpid();
+  return "127." + std::to_string(170 + (pid >> 8 & 63)) + "." + std::to_string(pid & 255) + "." +
+         std::to_string(last & 255);
+}
+
+Controller::Controller(ControllerSetup setup) : setup_(std::move(setup)) {
+  std::filesystem::create_directories(setup_.dir);
+  write(setup_.dir + "/config.json", config(setup_));
+  write(setup_.dir + "/fronts.json", setup_.websocket.empty()
+                                         ? std::string("{}\n")
+                                         : R"({"websocket":{"on":true,"listen":")" + setup_.websocket +
+                                               R"(","connections":)" +
+                                               std::to_string(setup_.websocket_connections) + "}}\n");
+  start();
+}
+
+Controller::~Controller() {
+  if (pid_ > 0) end(SIGKILL);
+  std::error_code ignored;
+  std::filesystem::remove_all(setup_.dir, ignored);
+}
+
+void Controller::start() {
+  const std::string log_file = setup_.dir + "/log";
+  const int out = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (out < 0) throw std::runtime_error(log_file + ": cannot be written");
+  const std::size_t before = log().size();
+  std::vector<std::string> words{setup_.binary, setup_.dir + "/fronts.json"};
+  words.insert(words.end(), setup_.arguments.begin(), setup_.arguments.end());
+  std::vector<char*> arguments;
+  arguments.reserve(words.size() + 1);
+  for (std::string& w : words) arguments.push_back(w.data());
+  arguments.push_back(nullptr);
+  const std::string config_file = setup_.dir + "/config.json";
+  pid_ = ::fork();
+  if (pid_ == 0) {
+    ::dup2(out, 2);
+    ::setenv("PROXY_CONFIG", config_file.c_str(), 1);
+    rlimit files{};
+    if (::getrlimit(RLIMIT_NOFILE, &files) == 0) {
+      files.rlim_cur =
+          std::min<rlim_t>(std::max<rlim_t>(files.rlim_cur, setup_.sockets + 64), files.rlim_max);
+      ::setrlimit(RLIMIT_NOFILE, &files);
+    }
+    if (setup_.cpu >= 0) {
+      cpu_set_t one;
+      CPU_ZERO(&one);
+      CPU_SET(static_cast<std::size_t>(setup_.cpu), &one);
+      ::sched_setaffinity(0, sizeof one, &one);
+    }
+    ::execv(arguments[0], arguments.data());
+    ::_exit(127);
+  }
+  ::close(out);
+  if (pid_ < 0) throw std::runtime_error("no process for the controller");
+  const Time limit = base::now() + 10s;
+  while (log().find("is up with", before) == std::string::npos) {
+    int status = 0;
+    if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+      pid_ = -1;
+      throw std::runtime_error(setup_.binary + " did not start: " + log().substr(before));
+    }
+    if (base::now() > limit) {
+      end(SIGKILL);
+      throw std::runtime_error(setup_.binary + " is not up within 10 s: " + log().substr(before));
+    }
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
+void Controller::end(int signal) {
+  ::kill(pid_, signal);
+  ::waitpid(pid_, nullptr, 0);
+  pid_ = -1;
+}
+
+void Controller::restart(bool orderly, Duration pause) {
+  if (pid_ > 0) end(orderly ? SIGTERM : SIGKILL);
+  std::this_thread::sleep_for(pause);
+  start();
+}
+
+bool Controller::stop() {
+  if (pid_ <= 0) return true;
+  ::kill(pid_, SIGTERM);
+  int status = -1;
+  ::waitpid(pid_, &status, 0);
+  pid_ = -1;
+  return WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+Controller::Use Controller::use() const {
+  Use out;
+  if (pid_ <= 0) return out;
+  const std::string stat = read("/proc/" + std::to_string(pid_) + "/stat");
+  std::istringstream fields(stat.substr(std::min(stat.rfind(')') + 2, stat.size())));
+  std::string word;
+  for (int i = 3; i <= 15 && fields >> word; ++i) {
+    if (i == 14 || i == 15) out.cpu_seconds += std::stod(word) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  }
+  std::istringstream status(read("/proc/" + std::to_string(pid_) + "/status"));
+  while (status >> word) {
+    double value = 0.0;
+    if (word == "VmRSS:" && status >> value) out.resident_mb = value / 1024.0;
+    if (word == "Threads:" && status >> value) out.threads = static_cast<int>(value);
+  }
+  return out;
+}
+
+std::string Controller::log() const { return read(setup_.dir + "/log"); }
+
+}  // namespace reeltack::standin
--- /dev/null
+++ b/src/standin/controller.h
@@ -0,0 +1,72 @@
+// A controller under test as a process of its own: configured, started, watched and ended.
+//
+// Owns: the process, its folder of configuration, and its log.
+// Must never: end a process that it did not start, or leave one running.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "base/base.h"
+
+namespace reeltack::standin {
+
+struct ControllerClass {
+  std::string name;
+  Duration aim{};
+  Duration deadline{};
+  double worth = 1.0;
+  double late_worth = 0.25;
+};
+struct ControllerSetup {
+  std::string binary;
+  std::string dir;  // made, and removed at the end
+  std::string name = "reeltack";
+  base::Address sip;
+  std::string websocket;  // HOST:PORT; empty: off
+  std::size_t websocket_connections = 128;
+  std::string bulletin;  // HOST:PORT; empty: none
+  std::string known;     // as Fleet::known_json tells; empty: none
+  std::vector<ControllerClass> classes;
+  std::uint32_t gateways = 1;
+  std::size_t sockets = 1024;
+  std::size_t memory_mb = 192;
+  int cpu = -1;  // pinned to this one; -1: any
+  // The rules on cold centrales.
+  double cold_from = 0.33;
+  Duration ramp = std::chrono::seconds(15);
+  double fall_multiple = 2.0;
+  std::vector<std::string> arguments;  // further ones
+};
+
+class Controller {
+ public:
+  explicit Controller(ControllerSetup setup);  // throws std::runtime_error if it is not up within 10 s
+  ~Controller();
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+  void restart(bool orderly, Duration pause);  // SIGTERM or SIGKILL, then a new one under the same name
+  bool stop();                                 // in order; false: it ended badly
+  [[nodiscard]] pid_t pid() const { return pid_; }
+  struct Use {
+    double cpu_seconds = 0.0;
+    double resident_mb = 0.0;
+    int threads = 0;
+  };
+  [[nodiscard]] Use use() const;
+  [[nodiscard]] std::string log() const;  // all that it said so far
+
+ private:
+  void start();
+  void end(int signal);
+  const ControllerSetup setup_;
+  pid_t pid_ = -1;
+};
+
+// An address of this process alone, for tests and demos that run side by side: 127.X.Y.last.
+std::string own_host(int last);
+
+}  // namespace reeltack::standin
--- /dev/null
+++ b/src/standin/link.h
@@ -0,0 +1,42 @@
+// A centrale's wires: platform JSON lines accepted, or call control's /centrales dialled.
+//
+// Owns: the sockets of one centrale and the spelling of its messages.
+// Must never: decide what a centrale answers.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/asio.h"
+#include "base/base.h"
+#include "standin/fleet.h"
+
+namespace reeltack::standin {
+
+// What a controller said to a centrale.
+struct Heard {
+  enum class What { set_up, give_up_or_release, lost } what{};
+  std::uint64_t call = 0;
+  std::uint64_t number = 0;
+  std::uint64_t from = 0;  // the connection
+};
+
+class Link {
+ public:
+  using Told = std::function<void(const Heard&)>;
+  virtual ~Link() = default;
+  // To the connection of the set-up, else to any open one, else to the next that comes.
+  virtual void started(std::uint64_t from, std::uint64_t call, const std::string& description) = 0;
+  virtual void ended(std::uint64_t from, std::uint64_t call, int cause, const char* note) = 0;
+  virtual void load(std::uint32_t free, std::uint32_t lines, double util, std::size_t queue) = 0;
+  virtual void hold(bool silent) = 0;  // says and hears nothing while on
+  virtual void die() = 0;              // resets every connection and takes no more
+};
+
+std::unique_ptr<Link> listen_lines(boost::asio::io_context& io, const base::Address& at, Link::Told told,
+                                   std::function<std::string()> greeting);
+std::unique_ptr<Link> dial_ws(boost::asio::io_context& io, const CentraleSettings& centrale, Link::Told told);
+std::string load_figures(std::uint32_t free, std::uint32_t lines, double util, std::size_t queue);
+
+}  // namespace reeltack::standin
--- a/src/ws/frames.cpp
+++ b/src/ws/frames.cpp
@@ -152,7 +152,8 @@
     const bool control = opcode >= 8;
     if ((byte(0) & 0x70U) != 0 || (opcode > 2 && opcode < 8) || opcode > kOpPong)
       return breach(kProtocolError);
-    if ((byte(1) & 0x80U) == 0) return breach(kProtocolError);  // a client's frames are masked
+    if (((byte(1) & 0x80U) != 0) != masked_) return breach(kProtocolError);  // a client's frames are masked
+    const std::size_t masking = masked_ ? 4 : 0;
     std::uint64_t length = byte(1) & 0x7fU;
     std::size_t at = 2;
     if (control && (!fin || length > kMostControl)) return breach(kProtocolError);
@@ -168,11 +169,12 @@
     if (opcode == 2) return breach(kNotUnderstood);
     if (!control && (opcode == 0) != in_parts_) return breach(kProtocolError);
     if (!control && parts_.size() + length > net::kMostMessage) return breach(kTooBig);
-    if (rest.size() < at + 4 + length) return std::nullopt;
-    const std::string_view mask = rest.substr(at, 4);
-    std::string payload(rest.substr(at + 4, length));
-    for (std::size_t i = 0; i < payload.size(); ++i) payload[i] = static_cast<char>(payload[i] ^ mask[i % 4]);
-    used += at + 4 + length;
+    if (rest.size() < at + masking + length) return std::nullopt;
+    const std::string_view mask = rest.substr(at, masking);
+    std::string payload(rest.substr(at + masking, length));
+    for (std::size_t i = 0; masked_ && i < payload.size(); ++i)
+      payload[i] = static_cast<char>(payload[i] ^ mask[i % 4]);
+    used += at + masking + length;
     if (control) return whole(opcode, std::move(payload));
     parts_ += payload;
     in_parts_ = !fin;
@@ -197,6 +199,34 @@
   return Message{Message::Kind::text, std::move(payload), 0};
 }
 
+std::string client_frame(int opcode, std::string_view payload, std::string_view mask, bool fin) {
+  std::string out = frame(opcode, payload);
+  if (!fin) out[0] = static_cast<char>(out[0] & 0x7f);
+  out[1] = static_cast<char>(out[1] | '\x80');
+  const std::size_t head = out.size() - payload.size();
+  out.insert(head, mask.substr(0, 4));
+  for (std::size_t i = 0; i < payload.size(); ++i)
+    out[head + 4 + i] = static_cast<char>(payload[i] ^ mask[i % 4]);
+  return out;
+}
+std::string client_handshake(std::string_view host, std::string_view path, std::string_view key) {
+  std::string out("GET ");
+  out.append(path).append(" HTTP/1.1\r\nHost: ").append(host);
+  out.append("\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n");
+  return out.append("Sec-WebSocket-Key: ").append(key).append("\r\n\r\n");
+}
+Handshake::Result read_accept(std::string_view text, std::string_view key, std::size_t& used) {
+  const std::size_t end = text.find("\r\n\r\n");
+  used = 0;
+  if (end == std::string_view::npos)
+    return text.size() > kMostHead ? Handshake::Result::rejected : Handshake::Result::more;
+  used = end + 4;
+  const std::string accept = "Sec-WebSocket-Accept: " + accept_key(std::string(key)) + "\r\n";
+  const bool good =
+      text.substr(0, 13) == "HTTP/1.1 101 " && text.substr(0, end + 2).find(accept) != std::string_view::npos;
+  return good ? Handshake::Result::accepted : Handshake::Result::rejected;
+}
+
 std::string text_frame(std::string_view payload) { return frame(1, payload); }
 std::string control_frame(int opcode, std::string_view payload) {
   return frame(opcode, payload.substr(0, kMostControl));
--- a/src/ws/frames.h
+++ b/src/ws/frames.h
@@ -1,4 +1,5 @@
-// RFC 6455: the opening handshake, frames and messages, as a server reads and writes them.
+// RFC 6455: the opening handshake, frames and messages, as a server reads and writes them, and what a client
+// needs to speak to one.
 //
 // Owns: every check that the RFC asks of a server, and the close code that a breach gets.
 // Must never: know a message's meaning, or hold more than one message of a peer.
@@ -41,6 +42,8 @@
 // Turns bytes into messages; fragments are put together, control frames may come between them.
 class Assembler {
  public:
+  enum class Peer { client, server };  // whose frames they are: a client's are masked, a server's are not
+  explicit Assembler(Peer peer = Peer::client) : masked_(peer == Peer::client) {}
   // Takes what it can off the front. Nothing and `fault` unset: more bytes are needed.
   std::optional<Message> next(std::string_view text, std::size_t& used);
   [[nodiscard]] int fault() const { return fault_; }  // close code of a breach, 0: none so far
@@ -48,6 +51,7 @@
  private:
   std::optional<Message> whole(int opcode, std::string payload);
   std::optional<Message> breach(int code);
+  bool masked_;
   std::string parts_;
   bool in_parts_ = false;
   int fault_ = 0;
@@ -56,6 +60,12 @@
 std::string text_frame(std::string_view payload);
 std::string control_frame(int opcode, std::string_view payload);
 std::string close_frame(int code, std::string_view reason);
+// For a client. The mask is the caller's: 4 bytes that a page's script can't foresee.
+std::string client_frame(int opcode, std::string_view payload, std::string_view mask, bool fin = true);
+// The request, and the answer's check: `used` is its length. Key: 16 bytes in base64.
+std::string client_handshake(std::string_view host, std::string_view path, std::string_view key);
+Handshake::Result read_accept(std::string_view text, std::string_view key, std::size_t& used);
+inline constexpr int kOpText = 1;
 inline constexpr int kOpClose = 8;
 inline constexpr int kOpPing = 9;
 inline constexpr int kOpPong = 10;
--- /dev/null
+++ b/src/yaml/document.h
@@ -0,0 +1,58 @@
+// Operators' YAML files: read whole, typed, held to a JSON Schema, with the place of every value kept.
+//
+// Owns: YAML 1.2's core types, duplicate keys, bounds on size, and messages that name file, line, column,
+// key. Must never: give a default, know what a key means, or read a file that it was not told of.
+//
+// Threads: a Document is plain data; functions keep no state. Errors: everything thrown is yaml::Error.
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace reeltack::yaml {
+
+struct Problem {
+  std::string file;
+  int line = 0;  // from 1; 0: the file as a whole
+  int column = 0;
+  std::string key;                          // as classes[0].share; empty: the top
+  std::string text;                         // what is wrong, and what would be right
+  [[nodiscard]] std::string shown() const;  // file:line:column: key: text
+};
+
+// Holds every problem found; what() shows them all, a line each.
+class Error : public std::runtime_error {
+ public:
+  explicit Error(std::vector<Problem> problems);
+  [[nodiscard]] const std::vector<Problem>& problems() const { return problems_; }
+
+ private:
+  std::vector<Problem> problems_;
+};
+
+// A value and where each part of it stands. Paths are JSON pointers (RFC 6901): "/classes/0/share".
+class Document {
+ public:
+  static Document read(const std::string& path);                            // throws Error
+  static Document parse(const std::string& text, const std::string& file);  // throws Error
+
+  [[nodiscard]] const nlohmann::json& value() const { return value_; }
+  [[nodiscard]] Problem problem(const std::string& pointer, const std::string& text) const;
+  // Throws Error with all that the schema (JSON Schema draft 7) finds.
+  void check(const nlohmann::json& schema) const;
+
+ private:
+  friend class Builder;
+  std::string file_;
+  nlohmann::json value_;
+  std::map<std::string, std::pair<int, int>> marks_;
+};
+
+// The known word nearest to a misspelt one (Levenshtein, at most a third of it wrong); empty: none is near.
+std::string nearest(const std::string& word, const std::vector<std::string>& known);
+
+}  // namespace reeltack::yaml
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -45,18 +45,7 @@
     raw(text);
   }
   static std::string masked(int opcode, const std::string& text, bool fin = true) {
-    std::string out = ws::control_frame(opcode, "");
-    out[0] = static_cast<char>((fin ? 0x80 : 0) | opcode);
-    if (text.size() < 126) {
-      out[1] = static_cast<char>(0x80 | text.size());
-    } else {
-      out[1] = static_cast<char>(0x80 | 126);
-      out += static_cast<char>(text.size() >> 8U);
-      out += static_cast<char>(text.size());
-    }
-    out += "mask";
-    for (std::size_t i = 0; i < text.size(); ++i) out += static_cast<char>(text[i] ^ "mask"[i % 4]);
-    return out;
+    return ws::client_frame(opcode, text, "mask", fin);
   }
   // One whole message; "end" once the connection is closed, "late" at the deadline.
   std::string next(Time deadline = soon()) {
@@ -210,10 +199,7 @@
                                                            : StandIn::Kind::raw,
                                            std::move(up.fd));
     if (websocket) {
-      peer.raw(
-          "GET /" + kind +
-          " HTTP/1.1\r\nHost: t\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
-          "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n");
+      peer.raw(ws::client_handshake("t", "/" + kind, "dGhlIHNhbXBsZSBub25jZQ=="));
       std::string answer(129, '\0');  // the 101 has this length for that key
       EXPECT_EQ(::recv(peer.fd(), answer.data(), answer.size(), MSG_WAITALL), 129);
       EXPECT_NE(answer.find("s3pPLMBiTxaQ9kYGzzhZRbK+xOo="), std::string::npos) << answer;
