--- a/src/load/plan/callers.cpp
+++ b/src/load/plan/callers.cpp
@@ -127,7 +127,7 @@
 }
 
 void Callers::stands(Duration now, TryId id, std::string_view description, CallerActions& actions) {
-  if (check_) {
+  if (check_ && (abandoned_.contains(id) || trying(id) != nullptr)) {
     const std::string fault = check_description(description, static_cast<std::uint64_t>(id));
     if (!fault.empty())
       recorder_.violation(&Violations::foreign_descriptions,
--- a/src/load/player.cpp
+++ b/src/load/player.cpp
@@ -78,7 +78,7 @@
 class Player {
  public:
   Player(const Scenario& scenario, const PlayerOptions& options)
-      : options_(options), run_(std::make_unique<Run>(scenario)), timer_(io_), turn_(io_) {
+      : options_(options), run_(std::make_unique<Played>(scenario)), timer_(io_), turn_(io_) {
     const Scenario& s = run_->scenario;
     std::uint64_t salt = hash(std::to_string(std::chrono::system_clock::now().time_since_epoch().count()));
     for (const Target& t : options.targets) run_->targets.push_back(load::to_text(t));
@@ -97,7 +97,7 @@
     for (const LoadClass& c : s.classes) longest_ = std::max(longest_, c.deadline);
   }
 
-  std::unique_ptr<Run> run() {
+  std::unique_ptr<Played> run() {
     for (auto& c : connections_) c->dial();
     const auto limit = Steady::now() + options_.connect_within;
     while (!all_up() && Steady::now() < limit) io_.run_one_for(10ms);
@@ -277,7 +277,7 @@
   }
 
   const PlayerOptions& options_;
-  std::unique_ptr<Run> run_;
+  std::unique_ptr<Played> run_;
   asio::io_context io_{1};
   asio::steady_timer timer_;
   asio::steady_timer turn_;
@@ -444,7 +444,7 @@
 
 }  // namespace
 
-std::unique_ptr<Run> play(const Scenario& scenario, const PlayerOptions& options) {
+std::unique_ptr<Played> play(const Scenario& scenario, const PlayerOptions& options) {
   if (options.targets.empty()) throw std::runtime_error("no target is named");
   return Player(scenario, options).run();
 }
--- a/src/load/player.h
+++ b/src/load/player.h
@@ -25,8 +25,8 @@
   Duration connect_within = std::chrono::seconds(5);
 };
 
-struct Run {
-  explicit Run(const Scenario& s) : scenario(s), recorder(scenario) {}
+struct Played {
+  explicit Played(const Scenario& s) : scenario(s), recorder(scenario) {}
   const Scenario scenario;
   Recorder recorder;
   std::vector<std::string> targets;
@@ -46,6 +46,6 @@
 };
 
 // Throws std::runtime_error if no target can be reached in time, TraceError for a bad trace.
-std::unique_ptr<Run> play(const Scenario& scenario, const PlayerOptions& options);
+std::unique_ptr<Played> play(const Scenario& scenario, const PlayerOptions& options);
 
 }  // namespace reeltack::load
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -59,7 +59,7 @@
   if (!(out << text) || !out.flush()) throw std::runtime_error(path + ": cannot be written");
 }
 
-std::string intervals_csv(const Run& run) {
+std::string intervals_csv(const Played& run) {
   std::ostringstream out;
   out << "at_s,planned,started";
   for (const char* name : kResultNames) out << "," << name;
@@ -169,7 +169,7 @@
 
 }  // namespace
 
-json report_json(const Run& run, const RulesChecker::Found* rules) {
+json report_json(const Played& run, const RulesChecker::Found* rules) {
   const Recorder& r = run.recorder;
   json out = tally_json(r.all());
   out["version"] = kReportVersion;
@@ -219,7 +219,7 @@
   return out;
 }
 
-void write_report(const std::string& dir, const Run& run, const RulesChecker::Found* rules) {
+void write_report(const std::string& dir, const Played& run, const RulesChecker::Found* rules) {
   std::error_code error;
   std::filesystem::create_directories(dir, error);
   if (error) throw std::runtime_error(dir + ": cannot be made: " + error.message());
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -15,10 +15,10 @@
 
 inline constexpr int kReportVersion = 1;
 
-nlohmann::json report_json(const Run& run, const RulesChecker::Found* rules);
+nlohmann::json report_json(const Played& run, const RulesChecker::Found* rules);
 // Writes all three files; gnuplot draws the plots where it is installed, and the page says so where it is
 // not. Throws std::runtime_error with the file that could not be written.
-void write_report(const std::string& dir, const Run& run, const RulesChecker::Found* rules);
+void write_report(const std::string& dir, const Played& run, const RulesChecker::Found* rules);
 std::string show_report(const nlohmann::json& report);  // a table for people
 
 // What changed from one report to another, as ratios. Throws std::runtime_error for what is no report.
--- a/src/standin/answerer.h
+++ b/src/standin/answerer.h
@@ -15,7 +15,7 @@
 namespace reeltack::standin {
 
 struct AnswererSettings {
-  base::Address at;
+  base::Address at{};
   bool websocket = false;  // call control in place of SIP
   Duration pause_at{};     // from its start: neither reads nor answers ...
   Duration pause_for{};    // ... for so long; 0: never
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -511,6 +511,21 @@
     });
   }
 
+  // A cold machine under a new id at the old address; where that is still taken, once it is free.
+  void replace(std::size_t i) {
+    CentraleSettings next = settings_.centrales[i];
+    next.id = last_id_ + 1;
+    try {
+      put(i, next, base::now());
+    } catch (const std::runtime_error&) {
+      return after(50ms, [this, i] { replace(i); });
+    }
+    ++last_id_;
+    entries_[i] = entry_of(next);
+    entries_[i].started_ms = static_cast<std::uint64_t>(base::now().time_since_epoch().count() / 1'000'000);
+    tell(i, 0);
+  }
+
   void begin(const Trouble& t) {
     for (const std::size_t i : t.centrales) {
       Centrale* c = centrales_[i].get();
--- a/tools/reeltackctl/load.cpp
+++ b/tools/reeltackctl/load.cpp
@@ -27,6 +27,18 @@
           "TIME"};
 }
 
+CLI::Validator target_check() {
+  return {[](std::string& text) {
+            try {
+              load::parse_target(text);
+              return std::string();
+            } catch (const std::invalid_argument& error) {
+              return std::string(error.what());
+            }
+          },
+          "TARGET"};
+}
+
 struct RunOptions {
   std::string scenario;
   std::vector<std::string> targets;
@@ -165,7 +177,8 @@
   r->add_option("scenario", o->scenario, "SCENARIO.yaml")->required()->check(CLI::ExistingFile);
   r->add_option("--target", o->targets,
                 "sip:HOST:PORT or ws:HOST:PORT, on loopback; more than one shares the load")
-      ->required();
+      ->required()
+      ->check(target_check());
   r->add_option("--report", o->report, "Folder of the report")->capture_default_str();
   r->add_option("--seed", o->seed, "In place of the scenario's");
   r->add_option("--fleet", o->fleet,
--- a/tools/reeltackctl/standin.cpp
+++ b/tools/reeltackctl/standin.cpp
@@ -8,6 +8,7 @@
 
 #include "commands.h"
 #include "load/scenario_file.h"
+#include "standin/answerer.h"
 #include "standin/fleet.h"
 #include "yaml/document.h"
 
@@ -62,6 +63,37 @@
   return kGood;
 }
 
+struct TargetOptions {
+  std::string at = "127.0.0.1:5060";
+  std::string wire = "sip";
+  std::string span;
+};
+
+int target(const TargetOptions& o, const Shared& shared) {
+  standin::AnswererSettings s;
+  const auto at = base::parse_address(o.at);
+  if (!at || at->host.rfind("127.", 0) != 0)
+    throw CLI::ValidationError("--listen", "must be a loopback address, not '" + o.at + "'");
+  s.at = *at;
+  s.websocket = o.wire == "ws";
+  const standin::Answerer answerer(s);
+  catch_stop();
+  spdlog::info("answering every set-up at once on {}:{}", o.wire, o.at);
+  const Time until = o.span.empty() ? base::kNever : base::now() + load::parse_span(o.span);
+  while (!stopped() && base::now() < until) std::this_thread::sleep_for(100ms);
+  if (shared.json) {
+    std::cout << nlohmann::json{{"set_ups", answerer.set_ups()},
+                                {"given_up", answerer.given_up()},
+                                {"released", answerer.released()}}
+                     .dump()
+              << "\n";
+  } else {
+    std::cout << answerer.set_ups() << " set-ups, " << answerer.given_up() << " given up, "
+              << answerer.released() << " released\n";
+  }
+  return kGood;
+}
+
 }  // namespace
 
 void add_standin(CLI::App& app, Shared& shared) {
@@ -77,6 +109,13 @@
   c->add_flag("--known", o->known,
               "Print the list of centrales first, as a controller's configuration takes it");
   c->callback([o, &shared] { shared.result = centrales(*o, shared); });
+  auto t = std::make_shared<TargetOptions>();
+  CLI::App* a = standin->add_subcommand(
+      "target", "A target that answers every set-up at once, to measure a generator by; ends with Ctrl-C");
+  a->add_option("--listen", t->at, "HOST:PORT, on loopback")->capture_default_str();
+  a->add_option("--wire", t->wire)->check(CLI::IsMember({"sip", "ws"}))->capture_default_str();
+  a->add_option("--for", t->span, "End after this time");
+  a->callback([t, &shared] { shared.result = target(*t, shared); });
   CLI::App* s = standin->add_subcommand("schema", "Print the schema of fleets");
   s->callback([] { std::cout << standin::fleet_schema(); });
 }
