Add trunk groups of numbered circuits: glare, audits, blocking, wire, stand-in far end

Need: other installations reach a centrale over circuits that either end may seize; reeltack knew only offices that book their lines alone.

Change: src/circuits holds the state of a group after Q.764 (dual seizure by control end, release, reset, blocking, group query), without I/O; sequence numbers a connection tell older words from newer. src/trunk speaks it as length-delimited Protocol Buffers, as an office for calls that go out and a front for those that come in. src/admin is the operators' socket (0600), reeltackctl trunk its client. Off unless the fronts file names a trunks file.

Eight scenarios pass against a stand-in far end and between two reeltacks.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -209,7 +209,7 @@
 
 Fronts read_fronts(const Json& json, const std::string& source) {
   const Section top(&json, source);
-  top.only({"websocket", "zone"});
+  top.only({"websocket", "zone", "trunks", "admin"});
   Fronts out;
   const Section websocket = top.at("websocket");
   websocket.only({"on", "listen", "connections", "origins"});
@@ -225,6 +225,17 @@
     }
     out.websocket_connections = static_cast<std::size_t>(websocket.number("connections", 1, 100000, 128.0));
   }
+  const Section trunks = top.at("trunks");
+  trunks.only({"on", "file"});
+  if (trunks.flag("on", false)) out.trunks_file = trunks.text("file");
+  const Section admin = top.at("admin");
+  admin.only({"on", "socket"});
+  if (admin.flag("on", false)) {
+    out.admin_socket = admin.text("socket");
+    constexpr std::size_t kMostPath = 100;  // sockaddr_un holds 108 bytes
+    if (out.admin_socket.empty() || out.admin_socket.size() > kMostPath)
+      admin.fail("socket", "must be a path of 1 to 100 bytes");
+  }
   const Section zone = top.at("zone");
   zone.only({"on", "file", "service", "updates"});
   if (zone.flag("on", false)) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -50,6 +50,8 @@
   std::optional<base::Address> updates;        // dynamic updates of the zone
   std::string zone_file;
   std::string zone_service;  // the owner name whose SRV records are the offices
+  std::string trunks_file;   // YAML, read by config/trunks
+  std::string admin_socket;  // a path; for operators of this user alone
 };
 
 std::string read_file(const std::string& path);
--- /dev/null
+++ b/src/config/trunks.cpp
@@ -0,0 +1,120 @@
+#include "config/trunks.h"
+
+#include <set>
+
+#include "yaml/document.h"
+#include "yaml/span.h"
+
+namespace reeltack::config {
+
+extern const char* const kTrunksSchema;
+const char* trunks_schema() { return kTrunksSchema; }
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+// The platform's rule on callers: what is over must be told within 8 s.
+constexpr Duration kLongestSilence = 7s;
+
+class Reader {
+ public:
+  explicit Reader(const yaml::Document& document) : document_(document) {}
+
+  std::vector<trunk::TrunkSettings> read() {
+    std::vector<trunk::TrunkSettings> out;
+    const json& trunks = document_.value()["trunks"];
+    for (std::size_t i = 0; i < trunks.size(); ++i)
+      out.push_back(read_one(trunks[i], "/trunks/" + std::to_string(i)));
+    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    return out;
+  }
+
+ private:
+  void fail(const std::string& pointer, const std::string& text) {
+    problems_.push_back(document_.problem(pointer, text));
+  }
+  Duration span(const json& at, const std::string& pointer, const char* key, Duration fallback) {
+    if (!at.contains(key)) return fallback;
+    try {
+      const Duration out = yaml::parse_span(at[key]);
+      if (out <= Duration{}) fail(pointer + "/" + key, "must be above 0");
+      return out;
+    } catch (const std::invalid_argument& error) {
+      fail(pointer + "/" + key, error.what());
+      return fallback;
+    }
+  }
+  std::optional<net::Address> address(const json& at, const std::string& pointer, const char* key) {
+    if (!at.contains(key)) return std::nullopt;
+    const std::string text = at[key];
+    auto out = net::parse_address(text);
+    if (!out) fail(pointer + "/" + key, "must be an address as 127.0.0.1:2905, not '" + text + "'");
+    return out;
+  }
+
+  trunk::TrunkSettings read_one(const json& t, const std::string& at) {
+    trunk::TrunkSettings out;
+    out.name = t["name"];
+    if (!names_.insert(out.name).second) fail(at + "/name", "names a group twice");
+    out.office = net::parse_office_name(std::string(t["office"])).value_or(ServerId{});
+    if (!offices_.insert(out.office).second) fail(at + "/office", "is the office of another group too");
+    out.place = t.value("place", 0U);
+    out.far_place = t.value("far_place", out.place);
+    out.capacity = t.value("capacity", 1.0);
+    out.dial = address(t, at, "dial");
+    out.listen = address(t, at, "listen");
+    if (t.contains("dial") == t.contains("listen"))
+      fail(at, "needs one of dial and listen: one end dials, the other listens");
+    circuits::GroupSettings& g = out.group;
+    g.size = t["circuits"];
+    g.own = t["point_code"];
+    g.far = t["far_point_code"];
+    if (g.own == g.far)
+      fail(at + "/far_point_code",
+           "must differ from point_code: the higher one decides who controls which circuit");
+    const std::string hunting = t.value("hunting", "opposite");
+    g.hunting = hunting == "priority" ? circuits::Hunting::priority
+                : hunting == "same"   ? circuits::Hunting::same
+                                      : circuits::Hunting::opposite;
+    const json audit = t.value("audit", json::object());
+    const std::string inside = at + "/audit";
+    g.audit_period = span(audit, inside, "period", g.audit_period);
+    g.confirm_after = span(audit, inside, "confirm", g.confirm_after);
+    g.audit_range = audit.value("range", g.audit_range);
+    g.settle_batch = audit.value("batch", g.settle_batch);
+    g.settle_gap = span(audit, inside, "gap", g.settle_gap);
+    const Duration bound = span(audit, inside, "bound", 10s);
+    const Duration reached = circuits::settle_bound(g);
+    if (reached > bound)
+      fail(inside, "frees a stuck circuit of " + std::to_string(g.size) + " only after " +
+                       yaml::show_span(reached) + ", later than its bound of " + yaml::show_span(bound) +
+                       ": period + confirm + gap for each batch; shorten them or make batch larger");
+    g.release_again = span(t, at, "release_again", g.release_again);
+    g.silence_most = span(t, at, "silence", g.silence_most);
+    if (g.silence_most > kLongestSilence)
+      fail(at + "/silence", "must be at most 7s: callers must hear within 8 s that their call is over");
+    return out;
+  }
+  const yaml::Document& document_;
+  std::vector<yaml::Problem> problems_;
+  std::set<std::string> names_;
+  std::set<ServerId> offices_;
+};
+
+std::vector<trunk::TrunkSettings> read(const yaml::Document& document) {
+  document.check(json::parse(kTrunksSchema));
+  return Reader(document).read();
+}
+
+}  // namespace
+
+std::vector<trunk::TrunkSettings> read_trunks(const std::string& path) {
+  return read(yaml::Document::read(path));
+}
+std::vector<trunk::TrunkSettings> parse_trunks(const std::string& text, const std::string& file) {
+  return read(yaml::Document::parse(text, file));
+}
+
+}  // namespace reeltack::config
--- a/src/core/office_list.cpp
+++ b/src/core/office_list.cpp
@@ -27,10 +27,17 @@
                      [&](const auto& n) { return n.first != source && n.second.contains(office); });
 }
 
+OfficeSide& OfficeSwitch::side(ServerId office) {
+  for (const Side& s : sides_) {
+    if (s.owns(office)) return *s.side;
+  }
+  return dialled_;
+}
+
 void OfficeSwitch::listed(bool complete, const std::vector<OfficeEntry>& offices) {
   std::vector<OfficeEntry> dialled;
   for (const OfficeEntry& o : offices) {
-    if (!registered_owns_(o.entry.server)) dialled.push_back(o);
+    if (&side(o.entry.server) == &dialled_) dialled.push_back(o);
   }
   dialled_.listed(complete, dialled);
 }
--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -13,7 +13,7 @@
 
 namespace reeltack::core {
 
-enum class Source { platform, zone, registered };
+enum class Source { platform, zone, registered, trunk };
 
 class OfficeList {
  public:
@@ -27,12 +27,14 @@
   std::map<Source, std::map<ServerId, OfficeEntry>> named_;
 };
 
-// Sends each action to the side that the office belongs to.
+// Sends each action to the side that the office belongs to: one that claims it, else the one that dials.
 class OfficeSwitch final : public OfficeSide {
  public:
   using Owns = std::function<bool(ServerId)>;
-  OfficeSwitch(OfficeSide& dialled, OfficeSide& registered, Owns registered_owns)
-      : dialled_(dialled), registered_(registered), registered_owns_(std::move(registered_owns)) {}
+  explicit OfficeSwitch(OfficeSide& dialled) : dialled_(dialled) {}
+  void add(OfficeSide& side, Owns owns) {
+    sides_.push_back({&side, std::move(owns)});
+  }  // before the core starts
   void listed(bool complete, const std::vector<OfficeEntry>& offices) override;
   void start(const SetUp& set_up) override { side(set_up.office).start(set_up); }
   void give_up(ServerId office, CallId call, std::uint32_t attempt) override {
@@ -42,10 +44,13 @@
   void keep(ServerId office, bool calls_stand) override { side(office).keep(office, calls_stand); }
 
  private:
-  OfficeSide& side(ServerId office) { return registered_owns_(office) ? registered_ : dialled_; }
+  struct Side {
+    OfficeSide* side;
+    Owns owns;
+  };
+  OfficeSide& side(ServerId office);
   OfficeSide& dialled_;
-  OfficeSide& registered_;
-  Owns registered_owns_;
+  std::vector<Side> sides_;
 };
 
 }  // namespace reeltack::core
--- a/src/load/plan/schedule.cpp
+++ b/src/load/plan/schedule.cpp
@@ -120,7 +120,7 @@
     lane.rate = scenario_.rate * c.share / sum;
     lane.phase = uniform(lane.gaps);
     if (scenario_.process != Process::trace) step(lane);
-    lanes_.push_back(std::move(lane));
+    lanes_.push_back(lane);
   }
 }
 
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -24,7 +24,7 @@
 // What changed from one report to another, as ratios. Throws std::runtime_error for what is no report.
 struct Comparison {
   std::string table;
-  nlohmann::json json;
+  nlohmann::json json = nullptr;
   bool worse = false;  // by more than `bound` in a figure that is held, or an invalid run
 };
 nlohmann::json load_report(const std::string& dir);
--- a/src/load/scenario_file.h
+++ b/src/load/scenario_file.h
@@ -6,6 +6,7 @@
 
 #include "load/plan/scenario.h"
 #include "yaml/document.h"
+#include "yaml/span.h"
 
 namespace reeltack::load {
 
@@ -13,8 +14,7 @@
 Scenario parse_scenario(const std::string& text, const std::string& file);  // throws yaml::Error
 const char* scenario_schema();                                              // as it ships
 
-// "500ms", "1.5s" and their like; throws std::invalid_argument.
-Duration parse_span(const std::string& text);
-std::string show_span(Duration span);
+using yaml::parse_span;
+using yaml::show_span;
 
 }  // namespace reeltack::load
--- a/src/load/trace.cpp
+++ b/src/load/trace.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <cstring>
 #include <nlohmann/json.hpp>
@@ -149,7 +150,7 @@
     if (*at < 0.0) fail(name_of(0) + " is negative: " + f[0]);
     const double us = *at * options_.at_unit_us;
     if (us > 8.0e15) fail(name_of(0) + " is beyond any trace: " + f[0]);
-    const auto when = static_cast<std::int64_t>(us + 0.5);
+    const auto when = static_cast<std::int64_t>(std::llround(us));
     if (options_.end && std::chrono::microseconds(when) > *options_.end)
       fail(name_of(0) + " lies beyond the end: " + f[0]);
     if (f[1].empty()) fail(name_of(1) + " is missing");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,13 +10,17 @@
 #include <cstdio>
 #include <exception>
 #include <functional>
+#include <memory>
 
+#include "admin/admin.h"
 #include "config/config.h"
+#include "config/trunks.h"
 #include "core/office_list.h"
 #include "dns/updates.h"
 #include "platform/bulletin.h"
 #include "platform/offices.h"
 #include "platform/sip.h"
+#include "trunk/trunk.h"
 #include "ws/front.h"
 
 namespace {
@@ -81,6 +85,73 @@
   }
 }
 
+using Trunks = std::vector<std::unique_ptr<trunk::Trunk>>;
+
+trunk::Trunk& trunk_of(const Trunks& trunks, const base::Json& request) {
+  const base::Json* name = request.find("trunk");
+  std::string known;
+  for (const auto& t : trunks) {
+    if (name != nullptr && name->string() != nullptr && *name->string() == t->settings().name) return *t;
+    known += (known.empty() ? "" : ", ") + t->settings().name;
+  }
+  throw admin::CommandError("no such trunk group; there are: " + (known.empty() ? "none" : known));
+}
+// A range of circuits that the request names; all of them if it names none.
+std::pair<circuits::Cic, std::uint32_t> range_of(const trunk::Trunk& t, const base::Json& request) {
+  const std::uint32_t size = t.settings().group.size;
+  const auto figure = [&](const char* key, double fallback) {
+    const base::Json* field = request.find(key);
+    if (field == nullptr) return fallback;
+    const auto value = field->number();
+    if (!value || *value < 0.0 || *value > size || *value != static_cast<std::uint32_t>(*value))
+      throw admin::CommandError(std::string(key) + ": must be a whole number from 0 to " +
+                                std::to_string(size));
+    return *value;
+  };
+  const auto first = static_cast<circuits::Cic>(figure("first", 0.0));
+  const auto count = static_cast<std::uint32_t>(figure("count", size - first));
+  if (first >= size || count == 0 || count > size - first)
+    throw admin::CommandError("the group has circuits 0 to " + std::to_string(size - 1));
+  return {first, count};
+}
+bool flag_of(const base::Json& request, const char* key) {
+  const base::Json* field = request.find(key);
+  return field != nullptr && field->boolean().value_or(false);
+}
+
+void add_trunk_commands(admin::Server& operators, const Trunks& trunks) {
+  operators.add("trunk.status", [&trunks](const base::Json& request) {
+    if (request.find("trunk") != nullptr)
+      return "[" + trunk_of(trunks, request).status(flag_of(request, "circuits")) + "]";
+    std::string out;
+    for (const auto& t : trunks) out += (out.empty() ? "" : ",") + t->status(false);
+    return "[" + out + "]";
+  });
+  operators.add("trunk.audit", [&trunks](const base::Json& request) {
+    trunk_of(trunks, request).audit();
+    return std::string("true");
+  });
+  operators.add("trunk.block", [&trunks](const base::Json& request) {
+    trunk::Trunk& t = trunk_of(trunks, request);
+    const auto [first, count] = range_of(t, request);
+    t.block(first, count, flag_of(request, "now"));
+    return std::string("true");
+  });
+  operators.add("trunk.unblock", [&trunks](const base::Json& request) {
+    trunk::Trunk& t = trunk_of(trunks, request);
+    const auto [first, count] = range_of(t, request);
+    t.unblock(first, count);
+    return std::string("true");
+  });
+  operators.add("trunk.lines",
+                [&trunks](const base::Json& request) {  // the circuits themselves are lost, or back
+                  trunk::Trunk& t = trunk_of(trunks, request);
+                  const auto [first, count] = range_of(t, request);
+                  t.lose(first, count, flag_of(request, "lost"));
+                  return std::string("true");
+                });
+}
+
 int run(int argc, char** argv) {
   config::Fronts fronts;
   if (argc > 1) fronts = config::read_fronts(config::read_json(argv[1]), argv[1]);
@@ -93,7 +164,18 @@
   core::OfficeList list(core);
   platform::Offices offices(core, node.class_names, node.dial_limit);
   ws::Front websocket(core, list, {node.class_names, fronts.websocket_origins, fronts.websocket_connections});
-  core::OfficeSwitch sides(offices, websocket, [&websocket](ServerId id) { return websocket.owns(id); });
+  core::OfficeSwitch sides(offices);
+  sides.add(websocket, [&websocket](ServerId id) { return websocket.owns(id); });
+  std::vector<std::unique_ptr<trunk::Trunk>> trunks;
+  if (!fronts.trunks_file.empty()) {
+    // Another one with each start, so that the far end knows one that came back with nothing.
+    const auto incarnation = static_cast<std::uint64_t>(net::now().time_since_epoch().count());
+    for (trunk::TrunkSettings& t : config::read_trunks(fronts.trunks_file)) {
+      trunks.push_back(
+          std::make_unique<trunk::Trunk>(core, list, std::move(t), node.class_names, incarnation));
+      sides.add(*trunks.back(), [t = trunks.back().get()](ServerId id) { return t->owns(id); });
+    }
+  }
   platform::SipFront sip(core, node.class_names, callers);
   // On every way out the core's thread ends before what it calls is gone.
   const struct Ended {
@@ -111,12 +193,20 @@
   std::optional<platform::Bulletin> bulletin;
   if (node.bulletin) bulletin.emplace(list, *node.bulletin, node.known_no);
   if (fronts.websocket) websocket.open(*fronts.websocket);
+  for (auto& t : trunks) t->open();
   if (node.listen) sip.open(*node.listen);
+  admin::Server operators;
+  if (!fronts.admin_socket.empty()) {
+    add_trunk_commands(operators, trunks);
+    operators.open(fronts.admin_socket);
+  }
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
   wait_for_end(core, node.settings, [&] { reload(node, bulletin, list); });
+  operators.close();
   sip.close_all();
   websocket.close_all();
+  for (auto& t : trunks) t->close();
   if (zone) zone->close_all();
   bulletin.reset();
   core.stop();
--- a/src/standin/controller.cpp
+++ b/src/standin/controller.cpp
@@ -66,11 +66,17 @@
 Controller::Controller(ControllerSetup setup) : setup_(std::move(setup)) {
   std::filesystem::create_directories(setup_.dir);
   write(setup_.dir + "/config.json", config(setup_));
-  write(setup_.dir + "/fronts.json", setup_.websocket.empty()
-                                         ? std::string("{}\n")
-                                         : R"({"websocket":{"on":true,"listen":")" + setup_.websocket +
-                                               R"(","connections":)" +
-                                               std::to_string(setup_.websocket_connections) + "}}\n");
+  std::string fronts;
+  const auto add = [&fronts](const std::string& part) { fronts += (fronts.empty() ? "" : ",") + part; };
+  if (!setup_.websocket.empty())
+    add(R"("websocket":{"on":true,"listen":")" + setup_.websocket + R"(","connections":)" +
+        std::to_string(setup_.websocket_connections) + "}");
+  if (!setup_.trunks.empty()) {
+    write(setup_.dir + "/trunks.yaml", setup_.trunks);
+    add(R"("trunks":{"on":true,"file":)" + base::quoted(setup_.dir + "/trunks.yaml") + "}");
+  }
+  if (setup_.admin) add(R"("admin":{"on":true,"socket":)" + base::quoted(admin_socket()) + "}");
+  write(setup_.dir + "/fronts.json", "{" + fronts + "}\n");
   start();
 }
 
--- a/src/standin/controller.h
+++ b/src/standin/controller.h
@@ -38,6 +38,8 @@
   double cold_from = 0.33;
   Duration ramp = std::chrono::seconds(15);
   double fall_multiple = 2.0;
+  std::string trunks;                  // YAML of trunk groups; empty: none
+  bool admin = false;                  // an operators' socket, admin.sock in its folder
   std::vector<std::string> arguments;  // further ones
 };
 
@@ -58,6 +60,7 @@
   };
   [[nodiscard]] Use use() const;
   [[nodiscard]] std::string log() const;  // all that it said so far
+  [[nodiscard]] std::string admin_socket() const { return setup_.dir + "/admin.sock"; }
 
  private:
   void start();
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -193,7 +193,11 @@
     }
     tell_load();
   }
-  void silent(bool on) { link_->hold(on); }
+  // As a machine that has vanished, but for its sockets: it says nothing and works on nothing that comes.
+  void silent(bool on) {
+    silent_ = on;
+    link_->hold(on);
+  }
   void die() {
     if (dead_) return;
     dead_ = true;
@@ -249,6 +253,11 @@
     ++counts_.set_ups;
     see(OfficeEvent::What::set_up, h.call, h.from);
     if (calls_.contains(h.call)) return;  // a set-up once more: the log shows it
+    if (silent_) {
+      calls_[h.call] = {Phase::setting_up, h.from, h.number, nullptr};
+      ++used_;
+      return;
+    }
     if (used_ >= lines_) {
       ++counts_.no_line;
       return end(h.from, h.call, kFull, "blocked");
@@ -391,6 +400,7 @@
   std::uint32_t used_ = 0;
   bool changed_ = false;
   bool dead_ = false;
+  bool silent_ = false;
   double util_ = 0.0;
   Duration busy_before_{};
   Time looked_ = base::now();
--- a/src/standin/link.cpp
+++ b/src/standin/link.cpp
@@ -42,12 +42,11 @@
     out_ += bytes;
     if (!silent_ && !writing_) flush();
   }
-  // Nothing is read and nothing written while silent, as from a machine that has vanished.
+  // Nothing is written while silent. It reads on: the log must tell when a message came, not when it was
+  // looked at.
   void hold(bool silent) {
     silent_ = silent;
-    if (silent) return;
-    if (!reading_) read();
-    if (!writing_ && !out_.empty()) flush();
+    if (!silent && !writing_ && !out_.empty()) flush();
   }
   void reset() {
     error_code ignored;
@@ -58,11 +57,6 @@
 
  private:
   void read() {
-    if (silent_) {
-      reading_ = false;
-      return;
-    }
-    reading_ = true;
     if (in_.size() - held_ < kStep / 2) in_.resize(in_.size() + kStep);
     socket_.async_read_some(asio::buffer(in_.data() + held_, in_.size() - held_),
                             [self = shared_from_this()](const error_code& error, std::size_t n) {
@@ -102,7 +96,6 @@
   std::string out_;
   std::string sending_;
   bool writing_ = false;
-  bool reading_ = false;
   bool silent_ = false;
   bool over_ = false;
 };
--- a/src/standin/link.h
+++ b/src/standin/link.h
@@ -30,7 +30,7 @@
   virtual void started(std::uint64_t from, std::uint64_t call, const std::string& description) = 0;
   virtual void ended(std::uint64_t from, std::uint64_t call, int cause, const char* note) = 0;
   virtual void load(std::uint32_t free, std::uint32_t lines, double util, std::size_t queue) = 0;
-  virtual void hold(bool silent) = 0;  // says and hears nothing while on
+  virtual void hold(bool silent) = 0;  // says nothing while on
   virtual void die() = 0;              // resets every connection and takes no more
 };
 
--- a/src/standin/model/processor.cpp
+++ b/src/standin/model/processor.cpp
@@ -1,6 +1,7 @@
 #include "standin/model/processor.h"
 
 #include <algorithm>
+#include <cmath>
 #include <stdexcept>
 #include <utility>
 
@@ -8,7 +9,7 @@
 namespace {
 
 Duration scaled(Duration d, double factor) {
-  return Duration{static_cast<Duration::rep>(static_cast<double>(d.count()) * factor + 0.5)};
+  return Duration{std::llround(static_cast<double>(d.count()) * factor)};
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/trunk/trunk_test.cpp
@@ -0,0 +1,405 @@
+// Trunk groups on the wire: the codec, the configuration, the operators' socket, and reeltack against a
+// stand-in far end and against itself.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <thread>
+
+#include "admin/admin.h"
+#include "base/json.h"
+#include "config/trunks.h"
+#include "load/plan/rules.h"
+#include "load/player.h"
+#include "standin/controller.h"
+#include "standin/far_end.h"
+#include "standin/fleet.h"
+#include "trunk/codec.h"
+#include "yaml/document.h"
+
+namespace reeltack::trunk {
+namespace {
+
+using namespace std::chrono_literals;
+using standin::Controller;
+using standin::FarEnd;
+using standin::own_host;
+
+// ---------------------------------------------------------------- codec
+
+TEST(Codec, FramesComeBackAsTheyWentAndInParts) {
+  Signal iam;
+  iam.message = {circuits::Kind::iam, 7, 1, 0x9b1f03aa5c7e2d41, 0, 3, 2, 0, {}};
+  iam.set_up = {"voice", 0xfffffffffffffff0, 1500, 3, true};
+  iam.description = "v=0\r\n\xc3\xa9";
+  Signal cqr;
+  cqr.message = {circuits::Kind::cqr, 256, 256, 0, 0, 0, 0, 9, {}};
+  for (std::uint32_t i = 0; i < 256; ++i)
+    cqr.message.words.push_back({circuits::CircuitWord::State::out, true, 0xffffffff, 0xffffffffffffffff});
+  const std::string bytes =
+      encode(Hello{1, "g", 30, 2, 1, true, 77}) + encode(iam) + encode_ping() + encode(cqr);
+  EXPECT_LT(encode(cqr).size(), kMostFrame) << "256 circuits fit a frame at their largest";
+  std::string held;
+  std::vector<Frame> frames;
+  for (const char c : bytes) {
+    held += c;
+    std::size_t used = 0;
+    if (auto f = decode(held, used)) frames.push_back(std::move(*f));
+    held.erase(0, used);
+  }
+  ASSERT_EQ(frames.size(), 4U);
+  EXPECT_EQ(frames[0].hello->incarnation, 77U);
+  EXPECT_EQ(frames[1].signal->message, iam.message);
+  EXPECT_EQ(frames[1].signal->set_up.number, iam.set_up.number);
+  EXPECT_EQ(frames[1].signal->description, iam.description);
+  EXPECT_EQ(frames[3].signal->message, cqr.message);
+}
+TEST(Codec, WhatIsMalformedIsRefused) {
+  std::size_t used = 0;
+  const auto refused = [&used](const std::string& bytes) {
+    EXPECT_THROW(decode(bytes, used), CodecError) << bytes.size();
+  };
+  refused(std::string(1, '\0'));            // an empty frame
+  refused("\xff\xff\xff\xff");              // a length that never ends
+  refused("\x81\x80\x01");                  // longer than 16 KiB
+  refused("\x02\xff\xff");                  // no protobuf
+  refused(std::string("\x02\x12\x00", 3));  // a signal of nothing is an iam without a set-up
+  Signal iam;
+  iam.message.kind = circuits::Kind::iam;
+  iam.description = "\xff";
+  refused(encode(iam));  // no UTF-8
+  iam.description = "";
+  iam.set_up.call_class = std::string(65, 'x');
+  refused(encode(iam));
+  iam.description = std::string(20000, 'x');
+  EXPECT_THROW(encode(iam), CodecError);
+}
+
+// ---------------------------------------------------------------- configuration
+
+constexpr const char* kGroup =
+    "trunks:\n  - {name: west, office: s-0000f001, place: 5, dial: \"127.0.0.1:2907\", circuits: 100, "
+    "point_code: 2, far_point_code: 1}\n";
+
+TEST(TrunksFile, ReadsAndRefuses) {
+  const auto t = config::parse_trunks(kGroup, "f").at(0);
+  EXPECT_EQ(t.office, ServerId{0xf001});
+  EXPECT_EQ(t.group.size, 100U);
+  const auto refused = [](std::string from, const std::string& to, const std::string& expected) {
+    std::string text = kGroup;
+    text.replace(text.find(from), from.size(), to);
+    try {
+      config::parse_trunks(text, "f");
+      ADD_FAILURE() << text;
+    } catch (const yaml::Error& error) {
+      EXPECT_NE(std::string(error.what()).find(expected), std::string::npos) << error.what();
+    }
+  };
+  refused("circuits: 100", "circuits: 0",
+          "f:2:72: trunks[0].circuits: must be a value of type \"integer\", at least 1");
+  refused("far_point_code: 1", "far_point_code: 2", "trunks[0].far_point_code: must differ from point_code");
+  refused("dial:", "lisen:", "trunks[0].lisen: is no key of this place; was listen meant?");
+  refused("dial: \"127.0.0.1:2907\", ", "", "trunks[0]: needs one of dial and listen");
+  refused("office: s-0000f001", "office: west", "trunks[0].office: must be an id as s-0000f001");
+  refused("circuits: 100", "circuits: 100, audit: {period: 9s, confirm: 2s}",
+          "trunks[0].audit: frees a stuck circuit of 100 only after 11.1s, later than its bound of 10s");
+  refused("circuits: 100", "circuits: 100000", "only after 82.15s");
+  refused("circuits: 100", "circuits: 100, silence: 9s", "trunks[0].silence: must be at most 7s");
+}
+
+// ---------------------------------------------------------------- operators' socket
+
+TEST(Admin, AnswersTheOwnerAloneAndNamesWhatIsWrong) {
+  const std::string path = ::testing::TempDir() + "admin-" + std::to_string(::getpid());
+  admin::Server server;
+  server.add("echo", [](const base::Json& request) -> std::string {
+    const base::Json* word = request.find("word");
+    if (word == nullptr) throw admin::CommandError("word: is missing");
+    return base::quoted(*word->string());
+  });
+  server.open(path);
+  struct stat file {};
+  ASSERT_EQ(::stat(path.c_str(), &file), 0);
+  EXPECT_EQ(file.st_mode & 0777U, 0600U);
+  EXPECT_EQ(admin::ask_text(path, R"({"command":"echo","word":"x"})"), "\"x\"");
+  const auto failed = [&path](const std::string& request) {
+    try {
+      admin::ask(path, request);
+    } catch (const std::runtime_error& error) {
+      return std::string(error.what());
+    }
+    return std::string("no error");
+  };
+  EXPECT_EQ(failed(R"({"command":"echo"})"), "word: is missing");
+  EXPECT_EQ(failed(R"({"command":"nothing"})"), "no such command; known are echo");
+  EXPECT_NE(failed("{"), "no error");
+  admin::Server second;
+  EXPECT_THROW(second.open(path), std::runtime_error)
+      << "the socket of a program that lives is not taken away";
+  server.close();
+  EXPECT_NE(failed("{}").find("nothing answers there"), std::string::npos);
+  second.open(path);
+}
+
+// ---------------------------------------------------------------- reeltack and a far end
+
+class Trunks : public ::testing::Test {
+ protected:
+  static std::string group(const std::string& more, std::uint32_t size = 100) {
+    return "trunks:\n  - {name: west, office: s-0000f001, place: 0, far_place: 9, listen: \"" + own_host(1) +
+           ":2907\", circuits: " + std::to_string(size) + ", point_code: 2, far_point_code: 1" + more + "}\n";
+  }
+  static standin::FarEndSettings far_settings(std::uint32_t size = 100) {
+    standin::FarEndSettings f;
+    f.group = "west";
+    f.circuits.size = size;
+    f.circuits.own = 1;
+    f.circuits.far = 2;
+    f.dial = base::Address{own_host(1), 2907};
+    return f;
+  }
+  static standin::ControllerSetup setup(const std::string& name, int host, const std::string& trunks) {
+    standin::ControllerSetup s;
+    s.binary = REELTACK_BINARY;
+    s.dir = ::testing::TempDir() + "trunk-" + name + std::to_string(::getpid());
+    s.name = name;
+    s.sip = {own_host(host), 5060};
+    s.classes.push_back({"voice", 1500ms, 9s, 1.0, 0.25});
+    s.trunks = trunks;
+    s.admin = true;
+    s.ramp = {};
+    s.fall_multiple = 0.0;
+    return s;
+  }
+  void start(const std::string& more = "", std::uint32_t size = 100, const std::string& known = "") {
+    auto s = setup("a", 1, group(more, size));
+    s.known = known;
+    controller_ = std::make_unique<Controller>(std::move(s));
+  }
+  static load::Scenario scenario(double rate, Duration span, Duration hold) {
+    load::Scenario s;
+    s.seed = 5;
+    s.rate = rate;
+    s.duration = span;
+    s.places = 1;
+    load::LoadClass c;
+    c.name = "voice";
+    c.aim = 1500ms;
+    c.deadline = 9s;
+    c.hold_mean = hold;
+    c.hold_law = load::HoldLaw::constant;
+    s.classes.push_back(c);
+    s.connections = 4;
+    s.lateness_bound = 10s;
+    return s;
+  }
+  static std::unique_ptr<load::Played> play(const load::Scenario& s, int host = 1) {
+    load::PlayerOptions o;
+    o.targets.push_back({load::Target::Kind::sip, {own_host(host), 5060}});
+    return load::play(s, o);
+  }
+  // Of the group, as the operators' socket tells it.
+  static double figure(const Controller& c, const char* key) {
+    const base::Json all = admin::ask(c.admin_socket(), R"({"command":"trunk.status"})");
+    return all.array()->at(0).find(key)->number().value_or(-1.0);
+  }
+  static bool reaches(const std::function<bool()>& what, Duration within = 15s) {
+    for (const Time by = base::now() + within; base::now() < by; std::this_thread::sleep_for(20ms)) {
+      if (what()) return true;
+    }
+    return false;
+  }
+  static std::uint64_t of(const load::Played& r, load::Result result) {
+    return r.recorder.all().results[static_cast<std::size_t>(result)];
+  }
+  std::unique_ptr<Controller> controller_;
+};
+
+TEST_F(Trunks, CallsGoOutStandAndAreReleased) {
+  start();
+  auto f = far_settings();
+  f.refuse_every = 10;
+  FarEnd far(f);
+  ASSERT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+  const auto run = play(scenario(100.0, 2s, 100ms));
+  const auto c = far.counts();
+  EXPECT_EQ(run->recorder.violations().total(), 0U);
+  EXPECT_EQ(run->recorder.all().ended(), run->recorder.all().planned);
+  EXPECT_EQ(of(*run, load::Result::stands), c.answered_in);
+  EXPECT_EQ(c.refused_in, c.offered / 10);
+  EXPECT_EQ(c.faults, 0U);
+  EXPECT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+  EXPECT_EQ(far.counts().busy, 0U);
+  EXPECT_TRUE(controller_->stop());
+}
+
+// Both ends seize, on a slow wire and hunting in the same order, so that seizures meet again and again.
+TEST_F(Trunks, CollisionsUnderLoadLeaveEveryCallOneAnswer) {
+  standin::Fleet fleet(
+      standin::parse_fleet("centrales:\n  - {at: \"" + own_host(20) + ":2905\", place: 9}\n", "f"));
+  start(", hunting: same", 40, fleet.known_json());
+  auto f = far_settings(40);
+  f.circuits.hunting = circuits::Hunting::same;
+  FarEnd far(f);
+  ASSERT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 40; }));
+  far.delay(15ms);
+  std::atomic<bool> done{false};
+  std::thread callers([&] {
+    for (std::uint64_t i = 1; !done && i < 2000; ++i) {
+      far.place(0xfa00000000000000 + i, "voice", 9, 60ms);
+      std::this_thread::sleep_for(7ms);
+    }
+  });
+  const auto run = play(scenario(100.0, 4s, 60ms));
+  done = true;
+  callers.join();
+  ASSERT_TRUE(reaches([&] { return far.counts().busy == 0; }));
+  const auto c = far.counts();
+  EXPECT_GT(c.group.collisions, 5U);
+  EXPECT_EQ(c.faults, 0U);
+  EXPECT_EQ(c.placed, c.answered_out + c.not_sent + c.ended_out) << "one final answer each, on the far side";
+  EXPECT_EQ(run->recorder.all().ended(), run->recorder.all().planned) << "... and on this one";
+  EXPECT_EQ(run->recorder.violations().total(), 0U);
+  load::RulesChecker rules;
+  for (const auto& e : fleet.take_log()) rules.take(e);
+  rules.finish();
+  EXPECT_EQ(rules.found().total(), 0U);
+  EXPECT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 40; }));
+}
+
+TEST_F(Trunks, AFarEndThatComesBackWithNothingHasItsCallsReleasedInTime) {
+  start("", 100);
+  FarEnd far(far_settings());
+  ASSERT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+  load::Scenario s = scenario(100.0, 500ms, 60s);
+  s.released_by = load::ReleasedBy::centrale;
+  s.settle = 12s;
+  std::thread restart([&] {
+    std::this_thread::sleep_for(1500ms);
+    far.restart();
+  });
+  const auto run = play(s);
+  restart.join();
+  EXPECT_GT(run->recorder.all().cut, 20U);
+  EXPECT_EQ(run->recorder.all().cut, of(*run, load::Result::stands))
+      << "each call that stood was released towards its client";
+  EXPECT_EQ(run->left_standing, 0U);
+  EXPECT_LT(run->lasted, 1500ms + 10s + 2s);
+  EXPECT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+}
+
+TEST_F(Trunks, LostLinesReleaseTheirCallsAndComeBackAudited) {
+  start("", 100);
+  FarEnd far(far_settings());
+  ASSERT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+  load::Scenario s = scenario(100.0, 500ms, 3s);
+  std::thread lose([&] {
+    std::this_thread::sleep_for(1200ms);
+    far.lose(50, 50, true);
+  });
+  const auto run = play(s);
+  lose.join();
+  EXPECT_GT(run->recorder.all().cut, 0U);
+  EXPECT_LT(run->recorder.all().cut, of(*run, load::Result::stands))
+      << "those on the other half stood to their end";
+  EXPECT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 50; }));
+  far.lose(50, 50, false);
+  EXPECT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+}
+
+TEST_F(Trunks, AHostileFarEndEndsItsConnectionAndNothingElse) {
+  standin::Fleet fleet(standin::parse_fleet("centrales:\n  - {at: \"" + own_host(20) + ":2905\"}\n", "f"));
+  start("", 100, fleet.known_json());
+  for (const std::string& bytes :
+       {std::string("\x02\xff\xff"), std::string("\xff\xff\xff\xff"), std::string(40000, '\x41')}) {
+    auto f = far_settings();
+    f.hostile = bytes;
+    FarEnd far(f);
+    EXPECT_TRUE(reaches([&] { return far.counts().connections >= 2; })) << "it was cut off, and came again";
+  }
+  const auto run = play(scenario(100.0, 1s, 100ms));
+  EXPECT_EQ(of(*run, load::Result::stands), run->recorder.all().planned);
+  EXPECT_TRUE(controller_->stop());
+}
+
+TEST_F(Trunks, EndsThatDisagreeAreRefusedWithAClearLine) {
+  start();
+  {
+    auto f = far_settings();
+    f.hello_size = 99;
+    FarEnd far(f);
+    EXPECT_TRUE(reaches([&] {
+      return controller_->log().find(
+                 "trunk west: refused: the ends disagree on the number of circuits: here 100, there 99") !=
+             std::string::npos;
+    }));
+  }
+  auto f = far_settings();
+  f.hello_same_control = true;
+  FarEnd far(f);
+  EXPECT_TRUE(reaches(
+      [&] { return controller_->log().find("control end of the even circuits") != std::string::npos; }));
+  EXPECT_EQ(figure(*controller_, "selectable"), 0);
+}
+
+TEST_F(Trunks, OperatorsBlockAndUnblock) {
+  start();
+  FarEnd far(far_settings());
+  ASSERT_TRUE(reaches([&] { return figure(*controller_, "selectable") == 100; }));
+  const std::string socket = controller_->admin_socket();
+  admin::ask(socket, R"({"command":"trunk.block","trunk":"west","first":10,"count":30})");
+  EXPECT_TRUE(reaches([&] { return far.counts().selectable == 70; }));
+  EXPECT_EQ(figure(*controller_, "blocked_local"), 30);
+  admin::ask(socket, R"({"command":"trunk.unblock","trunk":"west"})");
+  EXPECT_TRUE(reaches([&] { return far.counts().selectable == 100; }));
+  EXPECT_THROW(admin::ask(socket, R"({"command":"trunk.block","trunk":"west","first":90,"count":30})"),
+               std::runtime_error);
+  EXPECT_THROW(admin::ask(socket, R"({"command":"trunk.block","trunk":"east"})"), std::runtime_error);
+}
+
+// Two controllers face to face, each with a centrale of its own that the other's callers ask for.
+TEST_F(Trunks, TwoControllersFaceToFaceUnderLoad) {
+  const auto fleet_of = [](int host, int place) {
+    return standin::parse_fleet("centrales:\n  - {at: \"" + own_host(host) + ":2905\", place: " +
+                                    std::to_string(place) + ", processor: {set_up: 1ms, answer: 1ms}}\n",
+                                "f");
+  };
+  auto mine = fleet_of(20, 9);
+  auto theirs = fleet_of(21, 9);
+  theirs.centrales[0].id = 2;
+  standin::Fleet fleet_a(mine), fleet_b(theirs);
+  auto a = setup("a", 1, group(", hunting: same", 20));
+  a.known = fleet_a.known_json();
+  auto b =
+      setup("b", 2,
+            "trunks:\n  - {name: west, office: s-0000f001, place: 0, far_place: 9, dial: \"" + own_host(1) +
+                ":2907\", circuits: 20, point_code: 1, far_point_code: 2, hunting: same}\n");
+  b.known = fleet_b.known_json();
+  Controller one(std::move(a)), two(std::move(b));
+  ASSERT_TRUE(reaches([&] { return figure(one, "selectable") == 20 && figure(two, "selectable") == 20; }));
+  // Callers of each name place 0, which nobody is: the rotation takes the local centrale and the trunk in
+  // turn.
+  std::unique_ptr<load::Played> other;
+  std::thread thread([&] { other = play(scenario(120.0, 4s, 50ms), 2); });
+  const auto run = play(scenario(120.0, 4s, 50ms), 1);
+  thread.join();
+  for (const auto* r : {run.get(), other.get()}) {
+    EXPECT_EQ(r->recorder.all().ended(), r->recorder.all().planned);
+    EXPECT_EQ(r->recorder.violations().total(), 0U) << r->recorder.violations().samples.front();
+    EXPECT_GT(of(*r, load::Result::stands), r->recorder.all().planned * 9 / 10);
+  }
+  for (standin::Fleet* fleet : {&fleet_a, &fleet_b}) {
+    load::RulesChecker rules;
+    for (const auto& e : fleet->take_log()) rules.take(e);
+    rules.finish();
+    EXPECT_EQ(rules.found().total(), 0U) << rules.found().samples.front();
+  }
+  EXPECT_TRUE(reaches([&] { return figure(one, "selectable") == 20 && figure(two, "selectable") == 20; }));
+  EXPECT_GT(figure(one, "offered") + figure(two, "offered"), 50);
+  EXPECT_TRUE(one.stop());
+  EXPECT_TRUE(two.stop());
+}
+
+}  // namespace
+}  // namespace reeltack::trunk
--- a/tools/reeltackctl/main.cpp
+++ b/tools/reeltackctl/main.cpp
@@ -78,6 +78,7 @@
   ctl::add_load(app, shared);
   ctl::add_standin(app, shared);
   ctl::add_demo(app, shared);
+  ctl::add_trunk(app, shared);
   std::signal(SIGPIPE, SIG_IGN);
   try {
     app.parse(argc, argv);
