--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -113,11 +113,11 @@
       "set key outside right top\nset grid ytics lc rgb '#dddddd'\nset xlabel 'time (s)'\nset xrange "
       "[0:*]\n" +
       more + "set title '" + title + "'\nset ylabel '" + y + "'\nplot ";
-  bool first = true;
+  const char* comma = "";
   for (const auto& [column, name] : columns) {
-    out += std::string(first ? "" : ", ") + "'" + csv + "' every ::1 using 1:" + std::to_string(column) +
-           " with steps lw 1.6 title '" + name + "'";
-    first = false;
+    out.append(comma).append("'").append(csv).append("' every ::1 using 1:").append(std::to_string(column));
+    out.append(" with steps lw 1.6 title '").append(name).append("'");
+    comma = ", ";
   }
   return out + "\n";
 }
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -22,9 +22,9 @@
 std::string show_report(const nlohmann::json& report);  // a table for people
 
 // What changed from one report to another, as ratios. Throws std::runtime_error for what is no report.
-struct Comparison {
+struct Comparison {  // NOLINT(bugprone-exception-escape): of the JSON library's moves
   std::string table;
-  nlohmann::json json = nullptr;
+  nlohmann::json json;
   bool worse = false;  // by more than `bound` in a figure that is held, or an invalid run
 };
 nlohmann::json load_report(const std::string& dir);
--- a/src/yaml/document.h
+++ b/src/yaml/document.h
@@ -35,7 +35,7 @@
 };
 
 // A value and where each part of it stands. Paths are JSON pointers (RFC 6901): "/classes/0/share".
-class Document {
+class Document {  // NOLINT(bugprone-exception-escape): of the JSON library's moves
  public:
   static Document read(const std::string& path);                            // throws Error
   static Document parse(const std::string& text, const std::string& file);  // throws Error
--- a/tools/reeltackctl/main.cpp
+++ b/tools/reeltackctl/main.cpp
@@ -64,7 +64,7 @@
 
 }  // namespace reeltack::ctl
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) {  // NOLINT(bugprone-exception-escape): before the try, memory alone
   using namespace reeltack;
   CLI::App app{"reeltackctl: loads, watches and configures reeltack"};
   app.set_version_flag("--version", "reeltackctl " REELTACK_VERSION);
