Share the listening port, answer READY and STATS on the management address, count figures

Change: SO_REUSEPORT in net::listen_on; src/mgmt (pure line form, one poll loop of its own, 64 callers, 2 s idle limit, ERR busy past the bound); src/figures counted in Core::finish, relay_answer and send; mgmt from the configuration key or PROXY_MGMT.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -172,6 +172,7 @@
   Node out;
   out.name = top.text("name", "reeltack");
   out.listen = top.address("listen");
+  out.mgmt = top.address("mgmt");
   out.bulletin = top.address("bulletin");
   const std::string seed = top.text("seed", "0000000000000001");
   if (seed.empty() || seed.size() > 16 ||
@@ -275,6 +276,11 @@
       throw ConfigError("PROXY_LISTEN: must be an address as 127.0.0.1:2905, not '" + std::string(listen) +
                         "'");
   }
+  if (const char* mgmt = std::getenv("PROXY_MGMT")) {
+    out.mgmt = base::parse_address(mgmt);
+    if (!out.mgmt)
+      throw ConfigError("PROXY_MGMT: must be an address as 127.0.0.1:2906, not '" + std::string(mgmt) + "'");
+  }
   return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -31,6 +31,7 @@
 struct Node {
   std::string name = "reeltack";
   std::optional<base::Address> listen;    // where SIP callers connect
+  std::optional<base::Address> mgmt;      // the management address, for operators alone; none: off
   std::optional<base::Address> bulletin;  // none: the offices come from elsewhere
   std::uint64_t seed = 1;
   Limits limits;
@@ -62,7 +63,7 @@
 // The keys that differ and that a running program does not take anew.
 std::vector<std::string> changed_but_kept(const Node& running, const Node& read);
 
-// From PROXY_CONFIG, with PROXY_NAME and PROXY_LISTEN before the file's own words.
+// From PROXY_CONFIG, with PROXY_NAME, PROXY_LISTEN and PROXY_MGMT before the file's own words.
 Node node_from_environment();
 
 }  // namespace reeltack::config
--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -49,6 +49,9 @@
   record.why = why;
   --open_;
   ++(phase == Phase::refused ? counts_.refused : phase == Phase::failed ? counts_.failed : counts_.given_up);
+  if (phase != Phase::given_up)  // a caller that left first is counted under none
+    figures_.ended(record.request.told.call_class,
+                   phase == Phase::refused ? figures::End::busy : figures::End::failure);
   const CallId call = record.request.told.call;
   CallerSide* side = record.request.side;
   keep_ended(record);
@@ -122,6 +125,9 @@
   }
   for (const ServerId id : over) cut_calls_at(id);
   std::erase_if(listed_, [](const auto& l) { return l.second.state == ServerState::gone; });
+  std::size_t avoided = 0;  // draining: nothing new goes there
+  for (const auto& [id, entry] : listed_) avoided += entry.state != ServerState::ready ? 1 : 0;
+  figures_.listed(listed_.size(), avoided);
   events_.emplace_back(std::move(event));
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "figures/figures.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::core {
@@ -129,6 +130,8 @@
     std::atomic<std::uint64_t> requests{0}, stood{0}, refused{0}, failed{0}, given_up{0}, attempts{0};
   };
   [[nodiscard]] const Counts& counts() const { return counts_; }
+  // The operators' figures, counted here where each request ends; read from any thread.
+  [[nodiscard]] const figures::Figures& figures() const { return figures_; }
 
  private:
   struct Attempt {
@@ -189,6 +192,7 @@
   OfficeSide* offices_ = nullptr;
   CallerSide* strays_ = nullptr;
   Counts counts_;
+  figures::Figures figures_;
   std::atomic<bool> ready_{false};
   std::atomic<std::size_t> open_{0};
 
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -39,6 +39,7 @@
   drop_deadline(*r);
   --open_;
   ++counts_.stood;
+  figures_.ended(r->request.told.call_class, figures::End::success);
   standing(office, +1);
   events_.emplace_back(CallStands{call, attempt.number, office, now_ - attempt.sent});
   if (r->request.side->stands(call, r->answer)) return;
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -20,6 +20,7 @@
   }
   ++r->attempts;
   ++counts_.attempts;
+  figures_.attempted();
   r->out = attempt;
   const Time latest = r->request.told.caller_leaves;
   const Time give_up = wanted.give_up == Time{} ? latest : std::min(wanted.give_up, latest);
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -6,7 +6,8 @@
 
 namespace reeltack::core {
 
-Core::Core(const Settings& settings, std::uint64_t seed) : controller_(settings, seed), settings_(settings) {}
+Core::Core(const Settings& settings, std::uint64_t seed)
+    : controller_(settings, seed), settings_(settings), figures_(settings.classes.size()) {}
 Core::~Core() { stop(); }
 
 void Core::start(OfficeSide& offices, CallerSide* strays) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,7 @@
 #include "config/trunks.h"
 #include "core/office_list.h"
 #include "dns/updates.h"
+#include "mgmt/server.h"
 #include "platform/bulletin.h"
 #include "platform/offices.h"
 #include "platform/sip.h"
@@ -35,6 +36,8 @@
 // still waits is refused, for a call that the kill finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
 constexpr Duration kBeforeKilled = 350ms;
+// READY waits for the first list so long at the most: without one, requests are refused, not lost.
+constexpr Duration kListAwaited = 2s;
 
 sigset_t signals() {
   sigset_t out;
@@ -177,6 +180,14 @@
     }
   }
   platform::SipFront sip(core, node.class_names, callers);
+  // Yes once clients are taken: the listener is open and the module holds a list (or has waited long enough).
+  std::atomic<Time::rep> taking_since{0};
+  mgmt::Server management([&core, &taking_since, &node] {
+    const Time::rep since = taking_since.load();
+    const bool ready = since != 0 && (core.ready() || net::now() >= Time{Duration{since}} + kListAwaited);
+    return mgmt::State{ready,
+                       [&core, &node] { return core.figures().render(node.class_names, core.open_calls()); }};
+  });
   // On every way out the core's thread ends before what it calls is gone.
   const struct Ended {
     core::Core& core;
@@ -195,6 +206,8 @@
   if (fronts.websocket) websocket.open(*fronts.websocket);
   for (auto& t : trunks) t->open();
   if (node.listen) sip.open(*node.listen);
+  taking_since = net::now().time_since_epoch().count();
+  if (node.mgmt) management.open(*node.mgmt);
   admin::Server operators;
   if (!fronts.admin_socket.empty()) {
     add_trunk_commands(operators, trunks);
@@ -203,6 +216,7 @@
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
   wait_for_end(core, node.settings, [&] { reload(node, bulletin, list); });
+  management.close();
   operators.close();
   sip.close_all();
   websocket.close_all();
--- /dev/null
+++ b/src/mgmt/server.cpp
@@ -0,0 +1,88 @@
+// The management address's loop: poll over the listener and its callers, nothing else.
+#include "mgmt/server.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <vector>
+
+namespace reeltack::mgmt {
+namespace {
+
+struct Caller {
+  net::Fd fd;
+  Time until{};
+  std::string bytes;
+};
+
+// Without waiting; a short answer always fits into a fresh socket's buffer.
+void say(const net::Fd& fd, const std::string& text) {
+  (void)::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
+}  // namespace
+
+void Server::open(const net::Address& at) {
+  listener_ = net::listen_on(at);
+  thread_ = net::Thread([this] { run(); });
+}
+
+void Server::close() {
+  stopping_ = true;
+  thread_.join();
+  listener_.reset();
+}
+
+void Server::run() {
+  constexpr int kLook = 100;  // ms: how soon a close is seen, and an idle limit kept
+  std::vector<Caller> callers;
+  std::vector<pollfd> polled;
+  while (!stopping_) {
+    polled.assign(1, pollfd{listener_.get(), POLLIN, 0});
+    for (const Caller& c : callers) polled.push_back({c.fd.get(), POLLIN, 0});
+    ::poll(polled.data(), polled.size(), kLook);
+    const Time now = net::now();
+    // Callers first, so that a place freed now is free for the listener below.
+    for (std::size_t i = callers.size(); i-- > 0;) {
+      Caller& c = callers[i];
+      bool over = false;
+      if ((polled[i + 1].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
+        char chunk[512];
+        const ssize_t n = ::recv(c.fd.get(), chunk, sizeof chunk, MSG_DONTWAIT);
+        if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+          over = true;  // gone before its line was whole
+        } else if (n > 0) {
+          c.bytes.append(chunk, static_cast<std::size_t>(n));
+          const Taken taken = take(c.bytes);
+          if (taken.kind != Taken::Kind::more) {
+            say(c.fd, answer(taken, state_()));
+            ++(taken.kind == Taken::Kind::error ? counts_.errors : counts_.answered);
+            over = true;
+          }
+        }
+      }
+      if (!over && now >= c.until) {
+        say(c.fd, "ERR idle: no whole line within " + std::to_string(kIdle.count()) + " ms\n");
+        ++counts_.idle;
+        over = true;
+      }
+      if (over) {
+        callers[i] = std::move(callers.back());
+        callers.pop_back();
+      }
+    }
+    if ((polled[0].revents & POLLIN) == 0) continue;
+    for (int taken = 0; taken < 16; ++taken) {  // a few a turn, so that a flood cannot starve the callers
+      net::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+      if (!fd) break;
+      if (callers.size() >= kMostCallers) {
+        say(fd, "ERR busy: " + std::to_string(kMostCallers) + " callers already\n");
+        ++counts_.refused;
+        continue;
+      }
+      callers.push_back({std::move(fd), now + kIdle, {}});
+    }
+  }
+}
+
+}  // namespace reeltack::mgmt
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -99,6 +99,8 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   const int on = 1;
   if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  // A process that replaces this one listens beside it on the same port until this one has ended.
+  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
   if (!fd || !target || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0 ||
       ::listen(fd.get(), 512) != 0)
     throw std::runtime_error("cannot listen on " + to_text(at) + ": " + std::strerror(errno));
