--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -41,13 +41,6 @@
 // Without a word and without a new connection for so long, the machine is gone and its calls with it. Their
 // callers must hear within 8 s.
 constexpr Duration kLost = 5500ms;
-// A link with nothing open, standing or owed for so long closes its connection, and its thread ends: a fleet
-// of controllers cannot hold two threads for every office it lists.
-constexpr Duration kIdleLink = 5s;
-// Up to so many listed offices, each is dialled as soon as it is ready and kept, so that its reports come
-// before the first set-up; beyond, a link dials only for work, as a fleet's controllers must share the
-// offices' room.
-constexpr std::size_t kEagerOffices = 8;
 
 std::string finish_line(CallId call) {
   return R"({"verb":"FINISH","tag":")" + net::hex16(static_cast<std::uint64_t>(call)) +
@@ -56,19 +49,21 @@
 
 }  // namespace
 
-// One office: while it has work, a thread that dials and reads, and for each connection a writer.
+// One office: a thread that dials and reads, and for each connection a writer.
 class OfficeLink {
  public:
   OfficeLink(core::Core& core, ServerId id, Duration dial_limit)
       : core_(core), id_(id), dial_limit_(dial_limit) {}
   ~OfficeLink() { stop(); }
 
-  void begin() {}  // the thread comes with the first work
-  // Its office is gone and its thread done: it may be freed, by another thread, without a wait.
-  [[nodiscard]] bool ended() {
-    const std::lock_guard hold(lock_);
-    return gone_ && !running_;
+  void begin() {
+    thread_ = net::Thread([this] {
+      run();
+      ended_ = true;
+    });
   }
+  // Its office is gone and its thread done: it may be freed, by another thread, without a wait.
+  [[nodiscard]] bool ended() const { return ended_; }
   void stop() {
     {
       const std::lock_guard hold(lock_);
@@ -95,7 +90,6 @@
     if (address) address_ = *address;
     retry_at_ = {};
     changed_.notify_all();
-    wake();
     return true;
   }
 
@@ -104,16 +98,11 @@
     if (gone_) return false;
     const std::uint64_t tag = ++tags_;
     open_[set_up.call] = {set_up.attempt, tag, set_up.give_up, false, std::move(line)};
-    busy_at_ = net::now();
     if (outbox_) {
       queue(set_up.call, open_[set_up.call]);
     } else {
       changed_.notify_all();  // dial for it, at once
     }
-    if (!wake()) {  // no thread to be had: this office cannot be reached now
-      open_.erase(set_up.call);
-      return false;
-    }
     return true;
   }
 
@@ -133,26 +122,13 @@
     const std::lock_guard hold(lock_);
     if (gone_) return;  // with the office went its calls
     if (!outbox_ || !outbox_->push(finish_line(call))) owed_.push_back(finish_line(call));
-    busy_at_ = net::now();
-    changed_.notify_all();
-    wake();
-  }
-
-  // Whether it is dialled and kept while it has no work (see kEagerOffices).
-  void eager(bool on) {
-    const std::lock_guard hold(lock_);
-    eager_ = on;
-    busy_at_ = net::now();
     changed_.notify_all();
-    wake();
   }
 
   void keep(bool calls_stand) {
     const std::lock_guard hold(lock_);
     calls_stand_ = calls_stand;
-    busy_at_ = net::now();
     changed_.notify_all();
-    wake();
   }
 
  private:
@@ -164,23 +140,6 @@
     std::string line;
   };
 
-  // With the lock held: work for the link, for which nobody dials or reads.
-  [[nodiscard]] bool has_work() const {
-    return stopping_ || gone_ || !open_.empty() ||
-           (!dead_ && (calls_stand_ || !owed_.empty() || (eager_ && ready_)));
-  }
-  // With the lock held. Starts the thread where there is work and none runs; false: none could be had.
-  bool wake() {
-    if (running_ || stopping_ || !has_work()) return true;
-    try {
-      thread_ = net::Thread([this] { run(); });  // joins the one before, which has left already
-    } catch (const std::runtime_error& error) {
-      net::log_line("office " + net::office_name(id_) + ": " + error.what());
-      return false;
-    }
-    running_ = true;
-    return true;
-  }
   // With the lock held.
   void queue(CallId call, Open& open) {
     const std::uint32_t attempt = open.attempt;
@@ -211,19 +170,20 @@
       net::Address to;
       {
         std::unique_lock hold(lock_);
-        for (;;) {
-          if (!has_work()) {  // decided and told under one hold, so that no wake() is missed
-            running_ = false;
-            return;
+        const auto wanted = [this] {
+          if (stopping_ || gone_ || !open_.empty()) return true;
+          return !gone_ && !dead_ && (ready_ || calls_stand_ || !owed_.empty()) && net::now() >= retry_at_;
+        };
+        while (!wanted()) {
+          const auto at =
+              std::chrono::time_point<std::chrono::system_clock, Duration>(retry_at_.time_since_epoch());
+          if (net::now() < retry_at_) {
+            changed_.wait_until(hold, at);
+          } else {
+            changed_.wait(hold);
           }
-          if (stopping_ || gone_ || !open_.empty() || net::now() >= retry_at_) break;
-          changed_.wait_until(hold, std::chrono::time_point<std::chrono::system_clock, Duration>(
-                                        retry_at_.time_since_epoch()));
-        }
-        if (stopping_ || (gone_ && open_.empty())) {
-          running_ = false;
-          return;
         }
+        if (stopping_ || (gone_ && open_.empty())) return;
         to = address_;
         if (gone_) to.port = 0;  // another process may have the address now
       }
@@ -309,7 +269,6 @@
         if (buffer.full()) return;
         const net::Got got = buffer.fill(fd_, net::now() + kLook);
         if (got == net::Got::closed || (got == net::Got::late && !still_there(heard))) return;
-        if (got == net::Got::late && idle()) return;
         if (got == net::Got::data) {
           heard = net::now();
           const std::lock_guard hold(lock_);
@@ -358,12 +317,6 @@
     return false;
   }
 
-  // Nothing open, standing or owed for kIdleLink: the connection is closed, and the thread may end.
-  bool idle() {
-    const std::lock_guard hold(lock_);
-    return !eager_ && open_.empty() && !calls_stand_ && owed_.empty() && net::now() >= busy_at_ + kIdleLink;
-  }
-
   void read_line(const Json& line) {
     const auto text = [&line](const char* key) {
       const Json* field = line.find(key);
@@ -414,10 +367,8 @@
   Time started_at_ = Time::min();
   Time retry_at_{};
   bool ready_ = false;
-  bool gone_ = false;     // for good: what comes back under the id gets a new link
-  bool running_ = false;  // a thread dials and reads for it
-  bool eager_ = false;    // told by Offices::listed as the list changes
-  Time busy_at_{};        // of the last work
+  bool gone_ = false;  // for good: what comes back under the id gets a new link
+  std::atomic<bool> ended_{false};
   bool stopping_ = false;
   bool calls_stand_ = false;
   bool was_up_ = false;
@@ -464,7 +415,6 @@
                                    [id = id](const OfficeEntry& o) { return o.entry.server == id; });
       if (!kept) link->listed({{.server = id, .state = ServerState::gone}, ""});
     }
-    for (auto& [id, link] : links_) link->eager(links_.size() <= kEagerOffices);
   }
   sweep();
 }
