Start every scenario's program by one launcher, and share the call left open at office a

Need: the review of the change found start() and the handover test's launch_beside written twice (fork, pipe, exec; SIGTERM and wait), and the script of a call open at a in two tests. Change: Scenario::launch and end_well serve start(), stop() and the handover test; read_log reads by read_until; kCallOpenAtA.

--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -154,24 +154,14 @@
     configure(offices, bulletin);
     std::ofstream(dir() + "/fronts.json")
         << R"({"websocket":{"on":true,"listen":")" << host(0) << R"(:6000"},"zone":)" << zone << "}";
-    const std::string config = dir() + "/config.json";  // named after this process, not the child
-    const std::string fronts = dir() + "/fronts.json";
-    int log[2];
-    ASSERT_EQ(::pipe(log), 0);
-    child_ = ::fork();
-    if (child_ == 0) {
-      ::dup2(log[1], 2);
-      ::setenv("PROXY_CONFIG", config.c_str(), 1);
-      ::execl(REELTACK_BINARY, "reeltack", fronts.c_str(), nullptr);
-      ::_exit(127);
-    }
-    ::close(log[1]);
-    log_ = net::Fd(log[0]);
+    child_ = launch(log_);
+    ASSERT_GT(child_, 0);
     ASSERT_TRUE(read_log("is up with")) << seen_;
   }
-  // A second program with the same configuration and addresses, as in a handover; its log comes to `log`.
-  pid_t launch_beside(net::Fd& log) const {
-    const std::string config = dir() + "/config.json";
+  // A program with the configuration written, its log (standard error) to `log`; a second one beside the
+  // first has the same addresses, as in a handover.
+  pid_t launch(net::Fd& log) const {
+    const std::string config = dir() + "/config.json";  // named after this process, not the child
     const std::string fronts = dir() + "/fronts.json";
     int ends[2];
     if (::pipe(ends) != 0) return -1;
@@ -199,22 +189,18 @@
   // Asks the program to end; it must do so by itself and well.
   void stop() {
     if (child_ <= 0) return;
-    ::kill(child_, SIGTERM);
-    read_log("\x01");  // to its end
-    int status = -1;
-    ::waitpid(child_, &status, 0);
+    end_well(child_, log_, seen_);
     child_ = 0;
-    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << seen_;
   }
-  bool read_log(const std::string& until) {
-    char buffer[4096];
-    while (seen_.find(until) == std::string::npos) {
-      const ssize_t n = ::read(log_.get(), buffer, sizeof buffer);
-      if (n <= 0) return false;
-      seen_.append(buffer, static_cast<std::size_t>(n));
-    }
-    return true;
+  // SIGTERM, then its log to the end; it must leave by itself, with 0.
+  static void end_well(pid_t pid, const net::Fd& log, std::string& seen) {
+    ::kill(pid, SIGTERM);
+    read_until(log, "\x01", seen);
+    int status = -1;
+    ::waitpid(pid, &status, 0);
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << seen;
   }
+  bool read_log(const std::string& until) { return read_until(log_, until, seen_); }
 
   StandIn& open(const std::string& name, const std::string& kind) {
     const std::uint16_t port = kind == "sip" ? 5000 : kind == "dns" ? 7000 : 6000;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -20,6 +20,11 @@
   a send {"verb":"LOAD","tag":"","opts":{"load":"x0:40;x1:40"}}
   b send {"verb":"LOAD","tag":"","opts":{"load":"x0:40;x1:40"}}
 )";
+constexpr const char* kCallOpenAtA = R"(
+  c open sip
+  c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0 | d
+  a expect START #1
+)";
 constexpr const char* kCallStandsAtA = R"(
   c open sip
   c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0;width:1 | described
@@ -328,11 +333,7 @@
 TEST_F(Platform, TermAnswersWhatWasTaken) {
   start();
   play(kBothUp);
-  play(R"(
-    c open sip
-    c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0 | d
-    a expect START #1
-  )");
+  play(kCallOpenAtA);
   ::kill(child_, SIGTERM);
   play(R"(
     d open sip
@@ -353,14 +354,10 @@
   mgmt_ = true;
   start();
   play(kBothUp);
-  play(R"(
-    c open sip
-    c send INVITE #1 Subject:voice X-Patience:3000 X-Facts:dest:0 | d
-    a expect START #1
-  )");
+  play(kCallOpenAtA);
   net::Fd second_log;
   std::string second_seen;
-  const pid_t second = launch_beside(second_log);
+  const pid_t second = launch(second_log);
   ASSERT_GT(second, 0);
   ASSERT_TRUE(read_until(second_log, "is up with", second_seen)) << second_seen;  // it did not fail to listen
   ::kill(child_, SIGTERM);
@@ -382,11 +379,7 @@
     b2 send {"verb":"STARTED","tag":"#2","opts":{},"blob":"by the second"}
     d expect 200 #2 by the second
   )");
-  ::kill(second, SIGTERM);
-  read_until(second_log, "\x01", second_seen);
-  int status = -1;
-  ::waitpid(second, &status, 0);
-  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0) << second_seen;
+  end_well(second, second_log, second_seen);
   EXPECT_NE(second_seen.find("1 requests, 1 stood"), std::string::npos) << second_seen;
 }
 
