--- a/tests/mgmt/mgmt_test.cpp
+++ b/tests/mgmt/mgmt_test.cpp
@@ -73,13 +73,9 @@
 // ---------------------------------------------------------------- the server on loopback
 
 net::Fd connect_to(std::uint16_t port) {
-  net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(port);
-  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  EXPECT_EQ(::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
-  return fd;
+  net::Dialled up = net::dial({"127.0.0.1", port}, net::now() + std::chrono::seconds(10));
+  EXPECT_EQ(up.how, net::Dial::up);
+  return std::move(up.fd);
 }
 std::uint16_t free_port() {
   net::Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
