Kill a test's program with its test, and await READY instead of asking once

READY said "ERR not ready" and STATS said zero calls and zero attempts after both callers had their 200. Examined: the figures are counted before the answer is written (src/core/relay.cpp:42 before :45, src/core/send.cpp:23 before the write), so the program that served the calls cannot have shown zeros: another process answered on this test's management address. Since the listeners set SO_REUSEPORT, a program left over from an earlier test with the same process id shares its ports without an error (before, bind failed). A left-over one is possible: nothing ended a test's program if the test process itself died. Also the first READY raced the module's first list, which the program rightly answers "not ready" until then.

Change: the child sets PR_SET_PDEATHSIG (SIGKILL) so it never outlives its test; the test asks READY until yes, bounded by 10 s (the program says yes 2 s after opening at the latest).

--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -13,6 +13,7 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -167,6 +168,9 @@
     if (::pipe(ends) != 0) return -1;
     const pid_t pid = ::fork();
     if (pid == 0) {
+      // A program whose test has gone goes with it: left over, it would share this test's ports with a later
+      // test of the same process id (the listeners share ports for a handover).
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       ::dup2(ends[1], 2);
       ::setenv("PROXY_CONFIG", config.c_str(), 1);
       ::execl(REELTACK_BINARY, "reeltack", fronts.c_str(), nullptr);
@@ -285,6 +289,14 @@
       out.append(chunk, static_cast<std::size_t>(n));
     return out;
   }
+  // READY until it says yes, or 10 s: the program says yes once its module holds the list, or 2 s after it
+  // opened; what it said last.
+  [[nodiscard]] std::string await_ready() const {
+    std::string said;
+    for (int asked = 0; asked < 200 && (said = ask_mgmt("READY\n")) != "OK ready\n"; ++asked)
+      ::usleep(50'000);
+    return said;
+  }
   std::map<std::string, net::Fd> offices_;
   std::map<std::string, StandIn> peers_;
   std::string known_;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -75,7 +75,7 @@
 TEST_F(Platform, FiguresAreWhatTheOfficesAndCallersSaw) {
   mgmt_ = true;
   start();
-  EXPECT_EQ(ask_mgmt("READY\n"), "OK ready\n");
+  EXPECT_EQ(await_ready(), "OK ready\n");
   play(kBothUp);
   play(kCallStandsAtA);  // voice: stands, one attempt
   play(R"(
