Keep an office without a link when no thread can be had, instead of aborting

To blame here: OfficeLink::begin (src/platform/offices.cpp) and the writer in OfficeLink::serve create net::Thread, which throws std::runtime_error on EAGAIN, and nothing catches it on the list's thread or the link's own: std::terminate. The door already catches the same (src/net/door.cpp).

Change: begin() catches, logs a line naming the office and returns false; the office stays listed, its set-up is answered "not sent" to the module (which routes it elsewhere within its attempts), and the next set-up for it tries the thread again. A writer that can't be had ends that connection as not sent, and the next dial waits 250 ms.

--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -56,11 +56,21 @@
       : core_(core), id_(id), dial_limit_(dial_limit) {}
   ~OfficeLink() { stop(); }
 
-  void begin() {
-    thread_ = net::Thread([this] {
-      run();
-      ended_ = true;
-    });
+  // False, with a line in the log, where no thread can be had now (the machine is out of them): the office
+  // stays listed without a link, its set-ups are not sent, and the next set-up for it tries again.
+  bool begin() {
+    const std::lock_guard hold(begin_lock_);
+    if (begun_) return true;
+    try {
+      thread_ = net::Thread([this] {
+        run();
+        ended_ = true;
+      });
+    } catch (const std::runtime_error& error) {
+      net::log_line("office " + net::office_name(id_) + ": " + error.what());
+      return false;
+    }
+    return begun_ = true;
   }
   // Its office is gone and its thread done: it may be freed, by another thread, without a wait.
   [[nodiscard]] bool ended() const { return ended_; }
@@ -236,11 +246,17 @@
       owed_.clear();
       for (auto& [call, open] : open_) queue(call, open);
     }
-    {
+    bool written = true;
+    try {
       const net::Thread writer([this, &outbox] { outbox.write_to(fd_); });
       read_lines();
       outbox.abandon();
       fd_.shut();
+    } catch (const std::runtime_error& error) {  // no writer to be had: what is open here never left
+      net::log_line("office " + net::office_name(id_) + ": " + error.what());
+      outbox.abandon();
+      fd_.shut();
+      written = false;
     }
     std::map<CallId, Open> lost;
     {
@@ -253,7 +269,7 @@
         if (at->second.left || !ready_ || stopping_) lost.insert(open_.extract(at));
         at = next;
       }
-      retry_at_ = net::now() + std::chrono::milliseconds(20);
+      retry_at_ = net::now() + std::chrono::milliseconds(written ? 20 : 250);
     }
     for (const auto& [call, open] : lost)
       core_.send_failed(call, open.attempt, open.left ? Ending::reset : Ending::not_sent);
@@ -369,6 +385,8 @@
   bool ready_ = false;
   bool gone_ = false;  // for good: what comes back under the id gets a new link
   std::atomic<bool> ended_{false};
+  std::mutex begin_lock_;  // begin() comes from the list's thread and the core's
+  bool begun_ = false;
   bool stopping_ = false;
   bool calls_stand_ = false;
   bool was_up_ = false;
@@ -407,7 +425,7 @@
       auto& link = links_[office.entry.server];
       link = std::make_shared<OfficeLink>(core_, office.entry.server, dial_limit_);
       link->listed(office);
-      link->begin();
+      static_cast<void>(link->begin());  // where it fails, the first set-up for the office tries again
     }
     for (auto& [id, link] : links_) {
       const bool kept =
@@ -443,7 +461,7 @@
 void Offices::start(const SetUp& set_up) {
   sweep();
   const auto to = link(set_up.office);
-  if (!to) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  if (!to || !to->begin()) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - net::now()).count();
   const std::string name = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
   const std::string line = R"({"verb":"START","tag":")" +
