Give net::Thread a start that says false, in place of three catch blocks

The shared mechanism should say it instead.

Change: Thread::start(body, why) returns false with the reason where pthread_create fails; the throwing constructor is built on it. The door, its writer and the office links use start(); the office link's serve no longer needs a flag set in a catch.

Still no test that makes thread creation fail.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -28,20 +28,27 @@
 }
 
 Thread::Thread(std::function<void()> body) {
+  if (std::string why; !start(std::move(body), why)) throw std::runtime_error(why);
+}
+bool Thread::start(std::function<void()> body, std::string& why) {
+  join();
   pthread_attr_t attributes;
   ::pthread_attr_init(&attributes);
   ::pthread_attr_setstacksize(&attributes, kStack);
   auto held = std::make_unique<std::function<void()>>(std::move(body));
-  const auto start = [](void* given) -> void* {
+  const auto begin = [](void* given) -> void* {
     const std::unique_ptr<std::function<void()>> mine(static_cast<std::function<void()>*>(given));
     (*mine)();
     return nullptr;
   };
-  const int error = ::pthread_create(&id_, &attributes, start, held.get());
+  const int error = ::pthread_create(&id_, &attributes, begin, held.get());
   ::pthread_attr_destroy(&attributes);
-  if (error != 0) throw std::runtime_error(std::string("no thread: ") + std::strerror(error));
+  if (error != 0) {
+    why = std::string("no thread: ") + std::strerror(error);
+    return false;
+  }
   static_cast<void>(held.release());  // the thread owns it now
-  running_ = true;
+  return running_ = true;
 }
 Thread::Thread(Thread&& other) noexcept : id_(other.id_), running_(std::exchange(other.running_, false)) {}
 Thread& Thread::operator=(Thread&& other) noexcept {
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -23,7 +23,10 @@
 class Thread {
  public:
   Thread() = default;
-  explicit Thread(std::function<void()> body);
+  explicit Thread(std::function<void()> body);  // throws std::runtime_error where start() fails
+  // Starts `body` on a new thread that this object joins; false where none can be had now (EAGAIN: out of
+  // processes, or memory for its stack), with the reason in `why` and nothing started. Must not be running.
+  [[nodiscard]] bool start(std::function<void()> body, std::string& why);
   Thread(Thread&& other) noexcept;
   Thread& operator=(Thread&& other) noexcept;
   ~Thread() { join(); }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -22,22 +22,19 @@
 
 }  // namespace
 
-void Peer::begin() {
+bool Peer::begin(std::string& why) {
   const auto self = shared_from_this();  // alive until the thread is done
-  reader_ = Thread([self] { self->live(); });
+  return reader_.start([self] { self->live(); }, why);
 }
 // Most answers leave at once, so that most connections never have a writer: each thread costs processor time
 // whenever the whole program is held to its share and goes on.
 bool Peer::need_writer() {
   const std::lock_guard hold(lock_);
   if (has_writer_ || ends_) return true;
-  try {
-    writer_ = Thread([this] { outbox_.write_to(fd_); });  // joined by the reader
-  } catch (const std::runtime_error& error) {
-    log_line(error.what());
-    return false;
-  }
-  return has_writer_ = true;
+  std::string why;
+  has_writer_ = writer_.start([this] { outbox_.write_to(fd_); }, why);  // joined by the reader
+  if (!has_writer_) log_line(why);
+  return has_writer_;
 }
 void Peer::live() {
   read();
@@ -188,10 +185,8 @@
       continue;
     }
     const std::shared_ptr<Peer> peer = make_(std::move(fd));
-    try {
-      peer->begin();
-    } catch (const std::runtime_error& error) {  // out of threads: this caller must try elsewhere
-      log_line(error.what());
+    if (std::string why; !peer->begin(why)) {  // out of threads: this caller must try elsewhere
+      log_line(why);
       peer->finish();
       peer->join();
       continue;
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -24,7 +24,7 @@
   Peer(const Peer&) = delete;
   Peer& operator=(const Peer&) = delete;
 
-  void begin();  // throws std::runtime_error where no thread can be had
+  [[nodiscard]] bool begin(std::string& why);  // false where no thread can be had, the reason in `why`
   // False: closed, or the peer does not read; it is cut off then.
   bool push(std::string bytes, std::uint64_t tag = 0, Outbox::Check check = {});
   [[nodiscard]] bool behind() const { return outbox_.behind(); }
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -61,16 +61,15 @@
   bool begin() {
     const std::lock_guard hold(begin_lock_);
     if (begun_) return true;
-    try {
-      thread_ = net::Thread([this] {
-        run();
-        ended_ = true;
-      });
-    } catch (const std::runtime_error& error) {
-      net::log_line("office " + net::office_name(id_) + ": " + error.what());
-      return false;
-    }
-    return begun_ = true;
+    std::string why;
+    begun_ = thread_.start(
+        [this] {
+          run();
+          ended_ = true;
+        },
+        why);
+    if (!begun_) net::log_line("office " + net::office_name(id_) + ": " + why);
+    return begun_;
   }
   // Its office is gone and its thread done: it may be freed, by another thread, without a wait.
   [[nodiscard]] bool ended() const { return ended_; }
@@ -246,18 +245,16 @@
       owed_.clear();
       for (auto& [call, open] : open_) queue(call, open);
     }
-    bool written = true;
-    try {
-      const net::Thread writer([this, &outbox] { outbox.write_to(fd_); });
-      read_lines();
-      outbox.abandon();
-      fd_.shut();
-    } catch (const std::runtime_error& error) {  // no writer to be had: what is open here never left
-      net::log_line("office " + net::office_name(id_) + ": " + error.what());
-      outbox.abandon();
-      fd_.shut();
-      written = false;
-    }
+    std::string why;
+    net::Thread writer;
+    const bool written = writer.start([this, &outbox] { outbox.write_to(fd_); }, why);
+    if (written)
+      read_lines();  // else what is open here never left, and goes on a later connection
+    else
+      net::log_line("office " + net::office_name(id_) + ": " + why);
+    outbox.abandon();
+    fd_.shut();
+    writer.join();
     std::map<CallId, Open> lost;
     {
       const std::lock_guard hold(lock_);
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -329,7 +329,8 @@
   ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
   const net::Fd far(ends[1]);
   const auto peer = std::make_shared<HeldPeer>(net::Fd(ends[0]));
-  peer->begin();
+  std::string why;
+  ASSERT_TRUE(peer->begin(why)) << why;
   ASSERT_TRUE(net::write_all(far, "message"));
   peer->in_hand.get_future().wait();
   net::pause_until(net::now() + std::chrono::milliseconds(300));  // longer than a shy peer is given
