Yield the port to the successor at SIGTERM, and take in the queue before closing a listener

Examined: Door::stop_accepting closed the listener while the kernel still queued new connections on it. Change: yield_port() attaches a classic BPF program to the port's group; the queue is accepted empty before the close. Seen to fail: without the attach 3 checks fail, without the detach 1.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -68,7 +68,8 @@
   }
 }
 
-void wait_for_end(core::Core& core, const Settings& settings, const std::function<void()>& reload_now) {
+void wait_for_end(core::Core& core, const Settings& settings, const std::function<void()>& reload_now,
+                  const std::function<void()>& yield) {
   const sigset_t awaited = signals();
   int which = SIGHUP;
   for (;;) {
@@ -76,6 +77,7 @@
     if (which != SIGHUP) break;
     reload_now();
   }
+  yield();
   net::log_line("asked to end: answering what was taken");
   Duration longest{};
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
@@ -215,7 +217,12 @@
   }
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
-  wait_for_end(core, node.settings, [&] { reload(node, bulletin, list); });
+  wait_for_end(
+      core, node.settings, [&] { reload(node, bulletin, list); },
+      [&] {
+        sip.yield();
+        websocket.yield();
+      });
   management.close();
   operators.close();
   sip.close_all();
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -158,6 +158,12 @@
 void Door::stop_accepting() {
   accepting_ = false;
   thread_.join();
+  // Whoever the kernel has let in already may have sent a request: closing the listener would reset it.
+  while (listener_) {
+    Fd fd = accept_one(listener_, now());
+    if (!fd) break;
+    admit(std::move(fd));
+  }
   listener_.reset();
 }
 void Door::close_all() {
@@ -184,19 +190,23 @@
       if (errno == EMFILE || errno == ENFILE) pause_until(look_again);  // would come back at once, in vain
       continue;
     }
-    const std::shared_ptr<Peer> peer = make_(std::move(fd));
-    if (std::string why; !peer->begin(why)) {  // out of threads: this caller must try elsewhere
-      log_line(why);
-      peer->finish();
-      peer->join();
-      continue;
-    }
-    {
-      const std::lock_guard hold(lock_);
-      peers_.push_back(peer);
-    }
-    if (joined_) joined_(*peer);
+    admit(std::move(fd));
+  }
+}
+
+void Door::admit(Fd fd) {
+  const std::shared_ptr<Peer> peer = make_(std::move(fd));
+  if (std::string why; !peer->begin(why)) {  // out of threads: this caller must try elsewhere
+    log_line(why);
+    peer->finish();
+    peer->join();
+    return;
+  }
+  {
+    const std::lock_guard hold(lock_);
+    peers_.push_back(peer);
   }
+  if (joined_) joined_(*peer);
 }
 
 // Ends what is over and makes room at the limit.
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -96,7 +96,8 @@
   using Joined = std::function<void(Peer&)>;
   Door(std::size_t most, Make make, Joined joined = {});
   ~Door() { close_all(); }
-  void open(const Address& at);  // throws std::runtime_error
+  void open(const Address& at);                  // throws std::runtime_error
+  void yield() const { yield_port(listener_); }  // new connections go to a successor, if one listens beside
   void stop_accepting();
   void close_all();  // writes what is queued, then ends every connection
   // Hands it to the open connection last heard of that takes it; false: there is none.
@@ -104,6 +105,7 @@
 
  private:
   void accept_loop();
+  void admit(Fd fd);
   void make_room();  // with the lock held
   // False while there is no place for one more, or no descriptor.
   bool reap();
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -104,9 +105,19 @@
   if (!fd || !target || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0 ||
       ::listen(fd.get(), 512) != 0)
     throw std::runtime_error("cannot listen on " + to_text(at) + ": " + std::strerror(errno));
+  // What an earlier handover attached stays with the port, and would have this listener passed over.
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, &on, sizeof on);
   return fd;
 }
 
+void yield_port(const Fd& listener) {
+  // Listeners of one port are numbered as they joined, and one that leaves is replaced by the last: the one
+  // that is asked to end has number 0. Where there is no number 1, the kernel chooses as without a program.
+  sock_filter next[] = {{BPF_RET | BPF_K, 0, 0, 1}};
+  const sock_fprog program{1, next};
+  ::setsockopt(listener.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
+}
+
 Fd accept_one(const Fd& listener, Time deadline) {
   if (!wait_for(listener.get(), POLLIN, deadline)) return Fd{};
   Fd fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -46,7 +46,11 @@
   Dial how = Dial::failed;
 };
 Dialled dial(const Address& to, Time deadline);
-Fd listen_on(const Address& at);                                         // throws std::runtime_error
+// Shares the port with whoever else listens on it (SO_REUSEPORT). Throws std::runtime_error.
+Fd listen_on(const Address& at);
+// New connections go to the listener that joined the port next after this one, if there is one: socket(7),
+// SO_ATTACH_REUSEPORT_CBPF. Needs no rights; where the kernel has no such thing, the port stays shared.
+void yield_port(const Fd& listener);
 bool write_all(const Fd& to, std::string_view bytes, Time by = kNever);  // false: over, or not read in time
 bool readable(const Fd& from, Time by);                                  // something has come, or the end
 void drain(const Fd& from, Time by, std::size_t most);  // reads and drops, until the end or a bound
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -32,6 +32,7 @@
  public:
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
+  void yield() const { door_.yield(); }                  // to a successor, if one listens beside this program
   void close_all() { door_.close_all(); }                // writes what is queued, then ends every connection
 
   bool stands(CallId call, const std::string& description) override;
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -322,6 +322,51 @@
   void left(const std::set<CallId>& /*open*/) override {}
 };
 
+// How many of `n` new connections the listener is given: those already let in, without waiting.
+int let_in(const net::Fd& listener) {
+  int n = 0;
+  while (net::accept_one(listener, net::now())) ++n;
+  return n;
+}
+std::vector<net::Fd> connect_to(const net::Address& at, int n) {
+  std::vector<net::Fd> out;
+  for (int i = 0; i < n; ++i) {
+    out.push_back(net::dial(at, net::now() + std::chrono::seconds(5)).fd);
+    EXPECT_TRUE(out.back());
+  }
+  return out;
+}
+
+TEST(Listener, YieldedPortGivesAllNewConnectionsToTheNextListener) {
+  const net::Address at{"127.0.0.1", 24911};
+  net::Fd old = net::listen_on(at);
+  net::Fd fresh = net::listen_on(at);
+  net::yield_port(old);
+  auto held = connect_to(at, 40);
+  EXPECT_EQ(let_in(old), 0);
+  EXPECT_EQ(let_in(fresh), 40);
+  old.reset();
+  held = connect_to(at, 8);  // nobody is sent to a listener that has gone
+  EXPECT_EQ(let_in(fresh), 8);
+  // The next handover: a newcomer gets its share from the start, and all once the port is yielded again.
+  const net::Fd third = net::listen_on(at);
+  held = connect_to(at, 60);
+  const int before = let_in(third);
+  EXPECT_EQ(before + let_in(fresh), 60);
+  EXPECT_LT(before, 60);
+  net::yield_port(fresh);
+  held = connect_to(at, 40);
+  EXPECT_EQ(let_in(third), 40);
+}
+
+TEST(Listener, YieldedPortWithoutASuccessorGoesOnAccepting) {
+  const net::Address at{"127.0.0.1", 24912};
+  const net::Fd alone = net::listen_on(at);
+  net::yield_port(alone);
+  const auto held = connect_to(at, 10);
+  EXPECT_EQ(let_in(alone), 10);
+}
+
 // Found on rf5f9da: with the processor short, a reader came late to what it had taken off its socket, and its
 // connection was closed for room as an idle one.
 TEST(Door, PeerWithAMessageInHandIsNotClosedForRoom) {
