End a connection only while no set-up is open on it, so that nothing that crosses is lost

Examined: what is done at that time (main.cpp wait_for_end, Door::close_all, Peer::close). Ruled out: the accept queue (the port was yielded). To blame: Peer::close shut reading while set-ups were open on the connection; what the client sent on it until their answers was accepted by the kernel and never read. Change: a connection is ended at a moment when no set-up is open on it and nothing is unread; from 3.35 s on all is refused at once and messages that have begun are not waited for.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,6 +36,8 @@
 // still waits is refused, for a call that the kill finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
 constexpr Duration kBeforeKilled = 350ms;
+// The list that the configuration holds is the module's so soon, whatever the load.
+constexpr Duration kListTaken = 500ms;
 // READY waits for the first list so long at the most: without one, requests are refused, not lost.
 constexpr Duration kListAwaited = 2s;
 
@@ -68,25 +70,37 @@
   }
 }
 
-void wait_for_end(core::Core& core, const Settings& settings, const std::function<void()>& reload_now,
-                  const std::function<void()>& yield) {
+// Until SIGTERM or SIGINT.
+void wait_for_end(const std::function<void()>& reload_now) {
   const sigset_t awaited = signals();
   int which = SIGHUP;
   for (;;) {
     if (sigwait(&awaited, &which) != 0) continue;
-    if (which != SIGHUP) break;
+    if (which != SIGHUP) return;
     reload_now();
   }
-  yield();
-  net::log_line("asked to end: answering what was taken");
+}
+
+// Answers what was taken. Requests may come on an open connection for as long as it is open, so that each is
+// closed only while none is open on it.
+void answer_all(core::Core& core, const Settings& settings, platform::SipFront& sip) {
   Duration longest{};
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
   const Time asked = net::now();
   const Time last = asked + std::min(longest, kLongestCounted) + kBeforeKilled;
+  bool closing = false;
   // A step is short, so that the end follows soon after the last answer.
-  while (net::now() < asked + kStillTaking || core.open_calls() > 0) {
-    if (net::now() >= last) core.refuse_all();
-    net::pause_until(net::now() + 10ms);
+  while (!closing || !sip.closed() || core.open_calls() > 0) {
+    const Time at = net::now();
+    if (!closing && at >= asked + kStillTaking) {
+      closing = true;
+      sip.close_idle();
+    }
+    if (at >= last) {
+      core.refuse_all();
+      sip.close_now();
+    }
+    net::pause_until(at + 10ms);
   }
 }
 
@@ -205,6 +219,9 @@
   }
   std::optional<platform::Bulletin> bulletin;
   if (node.bulletin) bulletin.emplace(list, *node.bulletin, node.known_no);
+  // Whoever is let in from here on finds the list taken, not a refusal for want of it.
+  for (const Time by = net::now() + kListTaken; !node.known.empty() && !core.ready() && net::now() < by;)
+    net::pause_until(net::now() + 1ms);
   if (fronts.websocket) websocket.open(*fronts.websocket);
   for (auto& t : trunks) t->open();
   if (node.listen) sip.open(*node.listen);
@@ -217,12 +234,11 @@
   }
   net::log_line(node.name + " is up with " + std::to_string(node.known.size()) + " offices known");
 
-  wait_for_end(
-      core, node.settings, [&] { reload(node, bulletin, list); },
-      [&] {
-        sip.yield();
-        websocket.yield();
-      });
+  wait_for_end([&] { reload(node, bulletin, list); });
+  net::log_line("asked to end: answering what was taken");
+  sip.yield();
+  websocket.yield();
+  answer_all(core, node.settings, sip);
   management.close();
   operators.close();
   sip.close_all();
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -43,6 +43,7 @@
     } else if (crowded_ == kNever) {
       crowded_ = at;  // nothing more is taken from a peer that leaves its answers unread: they would pile up
     }
+    if (stage_ == Stage::reading && may_close()) end_reading();
     if (stage_ == Stage::reading && crowded_ != kNever && at >= crowded_ + kWhole) end_reading();
     if (stage_ == Stage::reading && crowded_ == kNever && at >= due()) {
       late();
@@ -52,14 +53,6 @@
       if (quiet() == Next::end) end_reading();
     }
   }
-  if (stage_ == Stage::answering) {
-    bool answered = false;
-    {
-      const std::lock_guard hold(lock_);
-      answered = open_.empty();
-    }
-    if (answered) end_reading();
-  }
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
   if (stage_ == Stage::draining) drain();
   if (stage_ != Stage::over) arm();
@@ -79,16 +72,17 @@
   if (next == Next::end) end_reading();
 }
 
-// The end of what is read. What crossed our own closing has been taken, and each such set-up gets its answer
-// in its time.
+bool Peer::may_close() const {
+  const Closing how = closing_;
+  if (how == Closing::no || (!fresh_ && how != Closing::now)) return false;
+  const std::lock_guard hold(lock_);
+  return open_.empty() && !fd_.unread();
+}
+
 void Peer::end_reading() {
   std::set<CallId> open;
   {
     const std::lock_guard hold(lock_);
-    if (closing_ && !open_.empty()) {
-      stage_ = Stage::answering;
-      return;
-    }
     open.swap(open_);
   }
   stage_ = Stage::writing;
@@ -169,13 +163,13 @@
 void Peer::stood(CallId call) {
   const std::lock_guard hold(lock_);
   if (open_.erase(call) > 0) standing_.insert(call);
-  if (closing_) loop_->wake(id_);
+  if (closing_ != Closing::no) loop_->wake(id_);
 }
 void Peer::closed(CallId call) {
   const std::lock_guard hold(lock_);
   open_.erase(call);
   standing_.erase(call);
-  if (closing_) loop_->wake(id_);
+  if (closing_ != Closing::no) loop_->wake(id_);
 }
 Peer::Spare Peer::spare() const {
   const std::lock_guard hold(lock_);
@@ -184,7 +178,8 @@
 // Kept is all that has a set-up open, has said what is not yet read or taken, or has not been written its
 // answer: where the processor is short, the loop may come to these late.
 Peer::Spare Peer::spare_now() const {
-  if (over_ || retiring_ || closing_ || !fresh_ || !open_.empty() || outbox_.behind() || fd_.unread())
+  if (over_ || retiring_ || closing_ != Closing::no || !fresh_ || !open_.empty() || outbox_.behind() ||
+      fd_.unread())
     return Spare::kept;
   if (!served_) return heard() + kShy < now() ? Spare::silent : Spare::kept;
   return standing_.empty() ? Spare::idle : Spare::standing;
@@ -195,9 +190,8 @@
   retiring_ = true;
   fd_.shut();
 }
-void Peer::close() {
-  closing_ = true;
-  fd_.shut_read();
+void Peer::close(bool now) {
+  closing_ = now ? Closing::now : Closing::when_idle;
   loop_->wake(id_);
 }
 Time Peer::due() const {
@@ -250,12 +244,27 @@
   std::unique_lock hold(lock_);
   changed_.wait(hold, [this] { return listener_->closed; });
 }
+void Door::close_idle() {
+  stop_accepting();
+  close_peers(false);
+}
+void Door::close_now() {
+  stop_accepting();
+  close_peers(true);
+}
+void Door::close_peers(bool now) {
+  const std::lock_guard hold(lock_);
+  for (const auto& [key, p] : peers_) p->close(now);
+}
+bool Door::closed() {
+  const std::lock_guard hold(lock_);
+  return peers_.empty();
+}
 void Door::close_all() {
   if (!loop_) return;
-  stop_accepting();
+  close_now();
   {
     std::unique_lock hold(lock_);
-    for (const auto& [key, p] : peers_) p->close();
     changed_.wait(hold, [this] { return peers_.empty(); });
   }
   loop_->stop();
@@ -345,7 +354,7 @@
   const std::lock_guard hold(lock_);
   std::vector<std::pair<Time, Peer*>> open;
   for (const auto& [p, held] : peers_) {
-    if (!p->over() && !p->retiring()) open.emplace_back(p->heard(), p);
+    if (p->listens()) open.emplace_back(p->heard(), p);
   }
   std::sort(open.rbegin(), open.rend());
   return std::any_of(open.begin(), open.end(), [&bytes](const auto& p) { return p.second->push(bytes); });
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -41,8 +41,13 @@
   // Ends it for room, at once: what crosses the end is sent again by its caller. Only if it still can be
   // spared.
   void retire();
-  void close();  // reads on to what has come already, answers that, and ends
+  // Ends it as soon as no set-up is open on it and all that has come is read: what comes until then is taken
+  // and answered, for a close under an open set-up would lose what crosses it. A message that has begun is
+  // waited for in its time, or not where it is to be `now`.
+  void close(bool now);
   [[nodiscard]] bool retiring() const { return retiring_; }
+  // It is not ending, by either side, as far as the kernel knows: what is pushed now can still be read.
+  [[nodiscard]] bool listens() const { return !over_ && !retiring_ && !fd_.far_end_closed(); }
 
   void turn(bool ready) final;
 
@@ -63,10 +68,10 @@
   Buffer buffer_;
 
  private:
-  // reading, then answering what is open after our own close, writing what is queued, dropping what still
-  // comes after a hang-up, and over.
-  enum class Stage { reading, answering, writing, draining, over };
+  // reading, writing what is queued, dropping what still comes after a hang-up, and over.
+  enum class Stage { reading, writing, draining, over };
   void read();
+  [[nodiscard]] bool may_close() const;
   void end_reading();
   void finish_writing(Outbox::Flushed how);
   void drain();
@@ -100,7 +105,8 @@
   std::atomic<bool> served_{false};  // a whole message came
   std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
   std::atomic<bool> retiring_{false};
-  std::atomic<bool> closing_{false};
+  enum class Closing { no, when_idle, now };
+  std::atomic<Closing> closing_{Closing::no};
   std::atomic<bool> over_{false};
 };
 
@@ -115,7 +121,10 @@
   void open(const Address& at);  // throws std::runtime_error; its thread begins
   void yield() const;            // new connections go to a successor, if one listens beside
   void stop_accepting();         // whoever the kernel has let in already is taken in first
-  void close_all();              // writes what is queued, then ends every connection
+  void close_idle();             // stops accepting; ends each connection once it may be ended (Peer::close)
+  void close_now();              // the same, not waiting for messages that have begun
+  [[nodiscard]] bool closed();   // no connection is left
+  void close_all();              // close_now, waited for, and the end of the thread
   // Hands it to the open connection last heard of that takes it; false: there is none.
   bool push_to_any(const std::string& bytes);
 
@@ -125,7 +134,8 @@
   void admit(Fd fd);
   void left(Peer& peer);
   void make_room();  // with the lock held
-  bool place();      // for one more; asks others to end where there is none
+  void close_peers(bool now);
+  bool place();  // for one more; asks others to end where there is none
   const std::size_t most_;
   const Make make_;
   const Joined joined_;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -77,6 +77,11 @@
   return fd_ >= 0 && ::ioctl(fd_, FIONREAD, &waiting) == 0 && waiting > 0;
 }
 
+bool Fd::far_end_closed() const {
+  pollfd p{fd_, POLLRDHUP, 0};
+  return fd_ < 0 || (::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+}
+
 Fd dial_begin(const Address& to, Dial& how) {
   how = Dial::failed;
   const auto target = resolve(to);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -35,6 +35,7 @@
   void shut_read() const;   // wakes whoever reads it, once what has come is read
   void shut_write() const;  // what was written arrives, and then the end
   [[nodiscard]] bool unread() const;
+  [[nodiscard]] bool far_end_closed() const;  // its end, or a break, has come; what came before may be unread
 
  private:
   int fd_ = -1;
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -331,7 +331,7 @@
                     "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) +
                     "\r\nContent-Length: 0\r\n\r\n";
   const auto own = d.connection.lock();
-  const bool told = own && !own->over() && !own->retiring() && own->push(bye);
+  const bool told = own && own->listens() && own->push(bye);
   if (own) own->closed(call);
   if (told) return;
   // No connection owns a standing call: any open one will do, or else the next.
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -33,7 +33,11 @@
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void yield() const { door_.yield(); }                  // to a successor, if one listens beside this program
-  void close_all() { door_.close_all(); }                // writes what is queued, then ends every connection
+  // The end: each connection once no set-up is open on it, then those in the middle of a message as well.
+  void close_idle() { door_.close_idle(); }
+  void close_now() { door_.close_now(); }
+  [[nodiscard]] bool closed() { return door_.closed(); }
+  void close_all() { door_.close_all(); }  // waits until every connection has ended
 
   bool stands(CallId call, const std::string& description) override;
   void refused(CallId call, core::Why why, Duration later) override;
--- a/src/standin/controller.h
+++ b/src/standin/controller.h
@@ -51,7 +51,10 @@
   Controller& operator=(const Controller&) = delete;
 
   void restart(bool orderly, Duration pause);  // SIGTERM or SIGKILL, then a new one under the same name
-  bool stop();                                 // in order; false: it ended badly
+  // A new one starts beside the old, on the same addresses; once it is up, SIGTERM for the old, whose end is
+  // awaited. False: the old one ended badly.
+  bool replace();
+  bool stop();  // in order; false: it ended badly
   [[nodiscard]] pid_t pid() const { return pid_; }
   struct Use {
     double cpu_seconds = 0.0;
--- a/tests/load/player_test.cpp
+++ b/tests/load/player_test.cpp
@@ -289,5 +289,28 @@
   EXPECT_EQ(judged().total(), 0U);
 }
 
+// A second program beside the first, under load on both wires: whichever takes a call gives it its one
+// answer, and only what crosses the old one's last closes is dialled again.
+TEST_F(WithController, ReplacementUnderLoadAnswersAllThatEitherTook) {
+  start("");
+  bool ended_well = false;
+  std::thread handover([this, &ended_well] {
+    std::this_thread::sleep_for(1500ms);
+    ended_well = controller_->replace();
+  });
+  Scenario s = scenario(6s);
+  s.connections = 12;
+  const auto run = play(s);
+  handover.join();
+  EXPECT_TRUE(ended_well) << controller_->log();
+  EXPECT_GE(run->breaks, 1U);  // the old one did end under it
+  const Tally& all = run->recorder.all();
+  EXPECT_EQ(all.ended(), all.planned);
+  EXPECT_EQ(run->recorder.violations().total(), 0U);
+  EXPECT_EQ(all.results[static_cast<std::size_t>(Result::unanswered)], 0U);
+  EXPECT_GT(all.results[0], all.planned * 9 / 10);
+  EXPECT_EQ(judged().total(), 0U);
+}
+
 }  // namespace
 }  // namespace reeltack::load::test
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -18,6 +18,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -276,6 +277,10 @@
     return out;
   }
 
+  [[nodiscard]] int descriptors() const {  // of the program
+    const std::filesystem::directory_iterator held("/proc/" + std::to_string(child_) + "/fd");
+    return static_cast<int>(std::distance(begin(held), end(held)));
+  }
   int sockets_ = 1024;
   bool mgmt_ = false;  // the management address at port 7100
   // One request on the management address; all it answers.
