Keep the list of offices in a pure roster, and count in hosts_down those out of reach

Need: hosts_down is to count the offices that the controller avoids, and counted draining ones only; backend_calls counted attempts that were withdrawn before they left. Change: src/membership/roster (no I/O, no clock) holds the list, reachability and what a list ends; Core::list uses it; links tell what dialling found; attempts are counted as they leave. Road not taken: counting in the office links, which would need the list there a second time. Tests: by the case and 20,000 random steps against a plain model.

--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -107,28 +107,12 @@
 void Core::list(bool complete, const std::vector<OfficeEntry>& offices) {
   ListTold event;
   event.complete = complete;
-  std::vector<ServerId> over;
-  if (complete) {
-    for (auto& [id, entry] : listed_) {
-      bool kept = false;
-      for (const OfficeEntry& o : offices) kept = kept || o.entry.server == id;
-      if (!kept) entry.state = ServerState::gone, over.push_back(id);
-    }
-  }
-  for (const OfficeEntry& o : offices) {
-    const ServerEntry& entry = o.entry;
-    event.entries.push_back(entry);
-    const auto known = listed_.find(entry.server);
-    const bool restarted = known != listed_.end() && entry.started_at > known->second.started_at;
-    if (restarted || entry.state == ServerState::gone) over.push_back(entry.server);
-    listed_[entry.server] = entry;
-  }
-  for (const ServerId id : over) cut_calls_at(id);
-  std::erase_if(listed_, [](const auto& l) { return l.second.state == ServerState::gone; });
-  std::size_t avoided = 0;  // draining: nothing new goes there
-  for (const auto& [id, entry] : listed_) avoided += entry.state != ServerState::ready ? 1 : 0;
-  figures_.listed(listed_.size(), avoided);
+  for (const OfficeEntry& o : offices) event.entries.push_back(o.entry);
+  for (const ServerId id : roster_.told(complete, event.entries)) cut_calls_at(id);
+  count_offices();
   events_.emplace_back(std::move(event));
 }
 
+void Core::count_offices() { figures_.listed(roster_.size(), roster_.avoided()); }
+
 }  // namespace reeltack::core
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -23,6 +23,7 @@
 
 #include "base/base.h"
 #include "figures/figures.h"
+#include "membership/roster.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::core {
@@ -118,7 +119,9 @@
   void ended(Outcome outcome);
   void reported(ServerId office, const LoadReport& report);
   void send_failed(CallId call, std::uint32_t attempt, Ending ending);
-  void office_died(ServerId office);  // every call that stands there is cut
+  void office_died(ServerId office);       // every call that stands there is cut
+  void attempt_left();                     // a set-up has begun to leave to its office
+  void reached(ServerId office, bool up);  // what dialling it has found
   void told(bool complete, std::vector<OfficeEntry> offices);
 
   void refuse_all();  // whatever is still open, at once: the program's time is up
@@ -186,6 +189,7 @@
   void cut_calls_at(ServerId office);
   void list(bool complete, const std::vector<OfficeEntry>& offices);
   void standing(ServerId office, int change);
+  void count_offices();
 
   Controller controller_;
   Settings settings_;
@@ -208,7 +212,7 @@
   std::unordered_map<CallId, Record> calls_;
   std::multimap<Time, Due> timers_;
   std::deque<std::pair<Time, CallId>> ended_;  // records kept of ended calls, and until when
-  std::map<ServerId, ServerEntry> listed_;
+  membership::Roster roster_;
   std::map<ServerId, int> standing_;
   base::Thread thread_;
 };
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -49,7 +49,7 @@
 
 void Core::relay_end(const Outcome& outcome) {
   Record* r = find(outcome.call);
-  const bool known = listed_.contains(outcome.office);
+  const bool known = roster_.holds(outcome.office);
   if (known && outcome.report.free_lines >= 0.0)
     events_.emplace_back(ServerReported{outcome.office, true, {}, outcome.report});
   if (r == nullptr) {
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -14,7 +14,7 @@
   const ActionSink actions = std::move(actions_);
   for (const Action& action : actions) carry_out(action);
   // Ready is what the module can decide on: it holds a list.
-  if (!ready_ && !listed_.empty()) ready_ = true;
+  if (!ready_ && roster_.size() > 0) ready_ = true;
 }
 
 void Core::carry_out(const Action& action) {
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -11,16 +11,13 @@
   Record* r = find(wanted.call);
   if (r == nullptr || r->phase != Phase::open) return;
   const Attempt attempt{r->attempts, wanted.server, now_};
-  const auto office = listed_.find(wanted.server);
-  const bool ready = office != listed_.end() && office->second.state == ServerState::ready;
-  if (!ready || r->out || r->attempts >= settings_.attempts_cap) {
+  if (!roster_.ready(wanted.server) || r->out || r->attempts >= settings_.attempts_cap) {
     // Guards the rules against a mistake anywhere above: what must not go out is moot, at once.
     ++r->attempts;
     return tell_ended(*r, attempt, Ending::not_sent, false);
   }
   ++r->attempts;
   ++counts_.attempts;
-  figures_.attempted();
   r->out = attempt;
   const Time latest = r->request.told.caller_leaves;
   const Time give_up = wanted.give_up == Time{} ? latest : std::min(wanted.give_up, latest);
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -63,12 +63,18 @@
 }
 void Core::reported(ServerId office, const LoadReport& report) {
   post([this, office, report] {
-    if (listed_.contains(office)) events_.emplace_back(ServerReported{office, true, {}, report});
+    if (roster_.holds(office)) events_.emplace_back(ServerReported{office, true, {}, report});
   });
 }
 void Core::send_failed(CallId call, std::uint32_t attempt, Ending ending) {
   post([this, call, attempt, ending] { attempt_over(call, attempt, ending); });
 }
+void Core::attempt_left() { figures_.attempted(); }
+void Core::reached(ServerId office, bool up) {
+  post([this, office, up] {
+    if (roster_.reached(office, up)) count_offices();
+  });
+}
 void Core::office_died(ServerId office) {
   post([this, office] { cut_calls_at(office); });
 }
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -1,12 +1,12 @@
 // The figures that operators read: counts kept where the core decides, and their one spelling as text.
 //
-// Owns: per class the requests served (success), refused (busy) and failed (failure); attempts written to
+// Owns: per class the requests served (success), refused (busy) and failed (failure); attempts that left for
 //   offices (backend_calls); the listed offices and those avoided (hosts_listed, hosts_down).
 // Must never: do I/O, read a clock, start a thread, or decide anything.
 //
-// Threads: one writer (the core's thread) and any number of readers; every count is a relaxed atomic, so a
-// reader sees each figure true at some moment of the last few microseconds, not all at one instant.
-// Counts run from the process's start and never go back.
+// Threads: any may call any function (ends and lists come from the core's, attempts from who writes them);
+// every count is a relaxed atomic, so a reader sees each figure true at some moment of the last few
+// microseconds, not all at one instant. Counts run from the process's start and never go back.
 #pragma once
 
 #include <atomic>
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -185,6 +185,7 @@
       if (on != line_.get() || found == open_.end() || found->second.attempt != attempt) return false;
       if (ready_ && net::now() < found->second.give_up) {
         if (!waits_) waits_ = net::now(), loop_.wake(watch_);
+        core_.attempt_left();
         return found->second.left = true;
       }
       open_.erase(found);
@@ -223,6 +224,7 @@
   void failed(net::Dial how) {
     std::map<CallId, Open> lost;
     lost.swap(open_);
+    if (!gone_) core_.reached(id_, false);
     // A refused connection after one that stood: the process has died, and its calls with it.
     const bool died = how == net::Dial::refused && was_up_;
     // Another process may take over the address: no dialling for nothing until this one is told as started.
@@ -243,6 +245,7 @@
     waits_.reset();
     was_up_ = true;
     dead_ = false;
+    core_.reached(id_, true);
     for (std::string& text : owed_) line_->outbox.push(std::move(text));
     owed_.clear();
     for (auto& [call, open] : open_) queue(line_, call, open);
@@ -323,6 +326,7 @@
     net::log_line("office " + net::office_name(id_) + " is silent and out of reach: its calls are cut");
     was_up_ = false;
     dead_ = true;
+    core_.reached(id_, false);
     core_.office_died(id_);
   }
 
--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -111,6 +111,7 @@
   if (group_.seize(tick(), id, actions) != Refusal::none)
     return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
   attempts_[set_up.call] = set_up.attempt;
+  core_.attempt_left();
   carry_out(actions, words, nullptr);
   wake();
 }
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -381,7 +381,10 @@
     Centrale& centrale = centrales_[set_up.office];
     const auto found = centrale.out.find(set_up.call);
     if (found == centrale.out.end() || found->second != set_up.attempt) return false;
-    if (centrale.entry.entry.state == ServerState::ready && net::now() < set_up.give_up) return true;
+    if (centrale.entry.entry.state == ServerState::ready && net::now() < set_up.give_up) {
+      core_.attempt_left();
+      return true;
+    }
     centrale.out.erase(found);
   }
   core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
