Count standing calls in inflight: requests taken and not ended

Examined: what was said is Core::open_calls; what was seen is near the calls that stood. To blame: main.cpp rendering open_calls. Change: Core::in_flight adds the calls that stand.

--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -77,6 +77,7 @@
 // A call that stood is over.
 void Core::close(Record& record) {
   record.phase = Phase::over;
+  --standing_calls_;
   record.answer = {};
   standing(record.stands_at, -1);
   keep_ended(record);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -127,7 +127,9 @@
   void refuse_all();  // whatever is still open, at once: the program's time is up
 
   [[nodiscard]] bool ready() const { return ready_; }  // a list is held and the module has taken it
-  [[nodiscard]] std::size_t open_calls() const { return open_; }
+  [[nodiscard]] std::size_t open_calls() const { return open_; }  // without their final answer
+  // Taken and not ended: open, or standing and not released. A little more while a call goes over.
+  [[nodiscard]] std::size_t in_flight() const { return open_ + standing_calls_; }
   // For supervision and tests: what the table counted.
   struct Counts {
     std::atomic<std::uint64_t> requests{0}, stood{0}, refused{0}, failed{0}, given_up{0}, attempts{0};
@@ -199,6 +201,7 @@
   figures::Figures figures_;
   std::atomic<bool> ready_{false};
   std::atomic<std::size_t> open_{0};
+  std::atomic<std::size_t> standing_calls_{0};
 
   std::mutex lock_;  // guards the inbox alone
   std::condition_variable filled_;
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -37,6 +37,7 @@
   r->stands_at = office;
   r->answer = std::move(description);
   drop_deadline(*r);
+  ++standing_calls_;
   --open_;
   ++counts_.stood;
   figures_.ended(r->request.told.call_class, figures::End::success);
--- a/src/figures/figures.h
+++ b/src/figures/figures.h
@@ -34,9 +34,9 @@
   [[nodiscard]] std::uint64_t count(std::uint32_t call_class, End how) const;
   [[nodiscard]] std::uint64_t backend_calls() const { return backend_calls_.load(std::memory_order_relaxed); }
 
-  // `inflight`: requests taken and not ended, as the reader counts them at this moment.
-  // One `proxy.NAME=VALUE` line each, each ending in '\n', classes in the order of `names` (a class without a
-  // name is left out). The order of lines is fixed; a reader may rely on it.
+  // `inflight`: requests taken and not ended (open, or standing and not released), as the reader counts them
+  // at this moment. One `proxy.NAME=VALUE` line each, each ending in '\n', classes in the order of `names` (a
+  // class without a name is left out). The order of lines is fixed; a reader may rely on it.
   [[nodiscard]] std::string render(const std::vector<std::string>& names, std::uint64_t inflight) const;
 
  private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -202,7 +202,7 @@
     const Time::rep since = taking_since.load();
     const bool ready = since != 0 && (core.ready() || net::now() >= Time{Duration{since}} + kListAwaited);
     return mgmt::State{ready,
-                       [&core, &node] { return core.figures().render(node.class_names, core.open_calls()); }};
+                       [&core, &node] { return core.figures().render(node.class_names, core.in_flight()); }};
   });
   // On every way out the core's thread ends before what it calls is gone.
   const struct Ended {
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -302,6 +302,14 @@
       ::usleep(50'000);
     return said;
   }
+  [[nodiscard]] bool await_figure(const std::string& line) const {  // in STATS, within 10 s
+    bool found = false;
+    for (int asked = 0; asked < 200 && !found; ++asked) {
+      found = ask_mgmt("STATS\n").find(line) != std::string::npos;
+      if (!found) ::usleep(50'000);
+    }
+    return found;
+  }
   std::map<std::string, net::Fd> offices_;
   std::map<std::string, StandIn> peers_;
   std::string known_;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -95,8 +95,19 @@
             "proxy.success.voice=1\nproxy.success.urgent=1\nproxy.success.patient=0\n"
             "proxy.busy.voice=0\nproxy.busy.urgent=0\nproxy.busy.patient=0\n"
             "proxy.failure.voice=0\nproxy.failure.urgent=0\nproxy.failure.patient=0\n"
-            "proxy.backend_calls=3\nproxy.inflight=0\nproxy.hosts_listed=2\nproxy.hosts_down=0\nEND\n");
+            "proxy.backend_calls=3\nproxy.inflight=2\nproxy.hosts_listed=2\nproxy.hosts_down=0\nEND\n");
   EXPECT_EQ(ask_mgmt("NOPE\n").rfind("ERR unknown verb", 0), 0u);
+  // Released by either side, they are in flight no more.
+  play(R"(
+    b send {"verb":"FINISH","tag":"#2","opts":{},"rc":16}
+    c expect BYE #2 cause=16
+    c send BYE #1
+    c expect 200 BYE
+    a expect FINISH #1
+  )");
+  EXPECT_TRUE(await_figure("proxy.inflight=0\n"));
+  play("b down\n b close\n");
+  EXPECT_TRUE(await_figure("proxy.hosts_down=1\n"));
 }
 
 TEST_F(Platform, FullOfficeIsLeftForTheOther) {
