Add reeltackctl mgmt: ready, stats and watch, with the caller's side of the address in src/mgmt

Need: on-call staff ask by hand (nc), and the issue wants READY and STATS measured under load. Change: mgmt/client asks once with a deadline, reads figures strictly (an answer cut short has no END) and holds answer times; the tool adds READY that waits, and a watch timed from the planned instants. Tests: malformed figures by the line, a listener that never speaks, percentiles.

--- a/tests/mgmt/mgmt_test.cpp
+++ b/tests/mgmt/mgmt_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "figures/figures.h"
+#include "mgmt/client.h"
 #include "mgmt/line.h"
 #include "mgmt/server.h"
 
@@ -157,5 +158,51 @@
   EXPECT_NO_THROW(new_one.open({"127.0.0.1", old_one.port}));
 }
 
+// ---------------------------------------------------------------- the caller's side
+
+TEST(MgmtClient, ReadsWhatTheServerWritesAndNamesTheLineOfWhatItCannot) {
+  figures::Figures f(1);
+  f.ended(0, figures::End::success);
+  const auto read = mgmt::parse_figures("OK\n" + f.render({"a"}, 7) + "END\n");
+  EXPECT_EQ(read.at("success.a"), 1U);
+  EXPECT_EQ(read.at("inflight"), 7U);
+  EXPECT_EQ(read.size(), 7U);
+  const auto fault = [](const std::string& text) {
+    try {
+      mgmt::parse_figures(text);
+    } catch (const mgmt::MgmtError& error) {
+      return std::string(error.what());
+    }
+    return std::string("taken");
+  };
+  EXPECT_EQ(fault("OK\nproxy.a=1\n"), "line 3: must be ended by a line feed before END, not ''");
+  EXPECT_EQ(fault("OK\nproxy.a=1\nproxy.b=x\nEND\n"),
+            "line 3: must be proxy.NAME=VALUE with a whole number, not 'proxy.b=x'");
+  EXPECT_EQ(fault("OK\nproxy.a=1\nproxy.a=1\nEND\n"),
+            "line 3: must be a figure not told before, not 'proxy.a=1'");
+  EXPECT_EQ(fault("ERR busy\n"), "line 1: must be OK, not 'ERR busy'");
+}
+
+TEST(MgmtClient, AsksOnceAndSaysWhoDidNotAnswer) {
+  Running r;
+  EXPECT_TRUE(mgmt::ask({"127.0.0.1", r.port}, "READY", net::now() + std::chrono::seconds(10)).ok);
+  EXPECT_FALSE(mgmt::ask({"127.0.0.1", r.port}, "WHAT", net::now() + std::chrono::seconds(10)).ok);
+  const net::Address nobody{"127.0.0.1", free_port()};
+  EXPECT_THROW(mgmt::ask(nobody, "READY", net::now() + std::chrono::seconds(1)), mgmt::MgmtError);
+  const net::Address deaf{"127.0.0.1", free_port()};
+  const net::Fd listener = net::listen_on(deaf);  // lets callers in, and never speaks
+  EXPECT_THROW(mgmt::ask(deaf, "READY", net::now() + std::chrono::milliseconds(100)), mgmt::MgmtError);
+}
+
+TEST(MgmtClient, PercentilesAreThoseOfTheSortedTimes) {
+  mgmt::Watch w;
+  EXPECT_EQ(w.percentile(0.5), Duration{});
+  for (int i = 100; i >= 1; --i) w.took(std::chrono::milliseconds(i));
+  EXPECT_EQ(w.percentile(0.5), std::chrono::milliseconds(50));
+  EXPECT_EQ(w.percentile(0.99), std::chrono::milliseconds(99));
+  EXPECT_EQ(w.percentile(1.0), std::chrono::milliseconds(100));
+  EXPECT_EQ(w.late(std::chrono::milliseconds(90)), 10U);
+}
+
 }  // namespace
 }  // namespace reeltack
--- a/tools/reeltackctl/main.cpp
+++ b/tools/reeltackctl/main.cpp
@@ -79,6 +79,7 @@
   ctl::add_standin(app, shared);
   ctl::add_demo(app, shared);
   ctl::add_trunk(app, shared);
+  ctl::add_mgmt(app, shared);
   std::signal(SIGPIPE, SIG_IGN);
   try {
     app.parse(argc, argv);
