--- a/src/standin/controller.cpp
+++ b/src/standin/controller.cpp
@@ -44,6 +44,7 @@
                ",\"Points\":" + std::to_string(c.worth) + ",\"LateValue\":" + std::to_string(c.late_worth) +
                R"(,"Effect":"repeatable"})";
   return R"({"name":)" + base::quoted(s.name) + R"(,"listen":")" + base::to_text(s.sip) + "\"," +
+         (s.mgmt.empty() ? std::string() : R"("mgmt":")" + s.mgmt + "\",") +
          (s.bulletin.empty() ? std::string() : R"("bulletin":")" + s.bulletin + "\",") +
          R"("seed":"0000000000000007","limits":{"cores":1.0,"memory_mb":)" + std::to_string(s.memory_mb) +
          ",\"sockets\":" + std::to_string(s.sockets) + "}," +
--- a/src/standin/controller.h
+++ b/src/standin/controller.h
@@ -27,6 +27,7 @@
   base::Address sip;
   std::string websocket;  // HOST:PORT; empty: off
   std::size_t websocket_connections = 128;
+  std::string mgmt;      // HOST:PORT of its management address; empty: off
   std::string bulletin;  // HOST:PORT; empty: none
   std::string known;     // as Fleet::known_json tells; empty: none
   std::vector<ControllerClass> classes;
--- a/tools/reeltackctl/commands.h
+++ b/tools/reeltackctl/commands.h
@@ -29,6 +29,7 @@
 void add_demo(CLI::App& app, Shared& shared);
 void add_trunk(CLI::App& app, Shared& shared);
 void add_mgmt(CLI::App& app, Shared& shared);
+void add_measure(CLI::App& mgmt, Shared& shared);
 
 const std::atomic<bool>& stopped();  // set by SIGINT and SIGTERM
 void catch_stop();
--- a/tools/reeltackctl/mgmt.cpp
+++ b/tools/reeltackctl/mgmt.cpp
@@ -104,8 +104,8 @@
 
 void add_mgmt(CLI::App& app, Shared& shared) {
   auto o = std::make_shared<Options>();
-  CLI::App* m =
-      app.add_subcommand("mgmt", "The management address of a running reeltack: ready, stats, watch");
+  CLI::App* m = app.add_subcommand(
+      "mgmt", "The management address of a running reeltack: ready, stats, watch, measure");
   m->require_subcommand(1);
   const auto add = [&](const char* name, const char* words, int (*what)(const Options&, const Shared&)) {
     CLI::App* c = m->add_subcommand(name, words);
@@ -118,6 +118,7 @@
       ->add_option("--within", o->within_s, "Keep asking for so many seconds")
       ->check(CLI::Range(0.0, 3600.0));
   add("stats", "The figures, a line each", stats);
+  add_measure(*m, shared);
   CLI::App* w =
       add("watch", "Ask for the figures again and again, and tell how long the answers took", watch);
   w->add_option("--every", o->every_s, "Seconds between two questions")
