Count the connections that each limit of the door ends, and say so at the end

Need: the issue wants each bound counted. Change: a peer knows why it ended (far end, own end, late, unread, room, full queue), its door counts, and the closing log line tells. Examined on the way: the caller that reads nothing is ended as late or as unread, since a full receive buffer in its kernel delays what it sends too; the test takes either.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -252,6 +252,10 @@
                 " stood, " + std::to_string(c.refused) + " refused, " + std::to_string(c.failed) +
                 " failed, " + std::to_string(c.given_up) + " given up, " + std::to_string(c.attempts) +
                 " attempts");
+  const auto& d = sip.connections();
+  net::log_line("connections: " + std::to_string(d.accepted) + " let in; ended at a limit: " +
+                std::to_string(d.late) + " late, " + std::to_string(d.unread) + " left unread, " +
+                std::to_string(d.room) + " for room, " + std::to_string(d.cut) + " with a full queue");
   return 0;
 }
 
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -33,8 +33,10 @@
 
 void Peer::turn(bool ready) {
   if (stage_ == Stage::over) return;
+  const Time read_by = outbox_.due();
   const Outbox::Flushed how = outbox_.flush(fd_);
-  if (how == Outbox::Flushed::broken && stage_ < Stage::writing) end_reading();
+  if (how == Outbox::Flushed::broken && stage_ < Stage::writing)
+    end_reading(cut_ ? End::cut : retiring_ ? End::room : now() >= read_by ? End::unread : End::peer);
   if (stage_ == Stage::reading) {
     if (ready && !outbox_.crowded()) read();
     const Time at = now();
@@ -43,14 +45,14 @@
     } else if (crowded_ == kNever) {
       crowded_ = at;  // nothing more is taken from a peer that leaves its answers unread: they would pile up
     }
-    if (stage_ == Stage::reading && may_close()) end_reading();
-    if (stage_ == Stage::reading && crowded_ != kNever && at >= crowded_ + kWhole) end_reading();
+    if (stage_ == Stage::reading && may_close()) end_reading(End::own);
+    if (stage_ == Stage::reading && crowded_ != kNever && at >= crowded_ + kWhole) end_reading(End::unread);
     if (stage_ == Stage::reading && crowded_ == kNever && at >= due()) {
       late();
-      end_reading();
+      end_reading(End::late);
     } else if (stage_ == Stage::reading && at >= quiet_at()) {
       looked_ = at;
-      if (quiet() == Next::end) end_reading();
+      if (quiet() == Next::end) end_reading(End::own);
     }
   }
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
@@ -61,7 +63,7 @@
 void Peer::read() {
   fresh_ = buffer_.view().empty();
   const Got got = retiring_ ? Got::closed : buffer_.fill_now(fd_);
-  if (got == Got::closed) return end_reading();
+  if (got == Got::closed) return end_reading(retiring_ ? End::room : cut_ ? End::cut : End::peer);
   if (got == Got::late) return;
   const Time at = now();
   heard_ = at.time_since_epoch().count();
@@ -69,7 +71,7 @@
   if (fresh_) begun_ = at;
   const Next next = received();
   fresh_ = buffer_.view().empty();
-  if (next == Next::end) end_reading();
+  if (next == Next::end) end_reading(End::own);
 }
 
 bool Peer::may_close() const {
@@ -79,7 +81,8 @@
   return open_.empty() && !fd_.unread();
 }
 
-void Peer::end_reading() {
+void Peer::end_reading(End why) {
+  why_ = why;
   std::set<CallId> open;
   {
     const std::lock_guard hold(lock_);
@@ -152,6 +155,7 @@
   return taken;
 }
 void Peer::cut() {
+  cut_ = true;
   outbox_.abandon();
   fd_.shut();
   loop_->wake(id_);
@@ -310,6 +314,7 @@
     const std::lock_guard hold(lock_);
     peers_.emplace(peer.get(), peer);
   }
+  ++counts_.accepted;
   peer->begin(*loop_, [this](Peer& p) { left(p); });
   if (joined_) joined_(*peer);
 }
@@ -321,6 +326,10 @@
   if (found == peers_.end()) return;
   gone = std::move(found->second);
   peers_.erase(found);
+  if (peer.why() == Peer::End::late) ++counts_.late;
+  if (peer.why() == Peer::End::unread) ++counts_.unread;
+  if (peer.why() == Peer::End::room) ++counts_.room;
+  if (peer.why() == Peer::End::cut) ++counts_.cut;
   changed_.notify_all();
 }
 
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -34,6 +34,10 @@
   void stood(CallId call);
   void closed(CallId call);
 
+  // Why it ended: by its far end, by our own orderly end, or at a limit.
+  enum class End { peer, own, late, unread, room, cut };
+  [[nodiscard]] End why() const { return why_; }  // once it is over
+
   // How well it can be spared, the least first; kKept: not at all now.
   enum class Spare { silent, idle, standing, kept };
   [[nodiscard]] Spare spare() const;
@@ -72,7 +76,7 @@
   enum class Stage { reading, writing, draining, over };
   void read();
   [[nodiscard]] bool may_close() const;
-  void end_reading();
+  void end_reading(End why);
   void finish_writing(Outbox::Flushed how);
   void drain();
   void end();
@@ -90,6 +94,7 @@
   std::function<void(Peer&)> ended_;
   // Of the loop's thread.
   Stage stage_ = Stage::reading;
+  End why_ = End::peer;
   const Time connected_ = now();
   Time begun_ = connected_;   // of the message in the buffer
   Time looked_ = connected_;  // since when it is quiet
@@ -108,6 +113,7 @@
   enum class Closing { no, when_idle, now };
   std::atomic<Closing> closing_{Closing::no};
   std::atomic<bool> over_{false};
+  std::atomic<bool> cut_{false};
 };
 
 class Door {
@@ -125,6 +131,12 @@
   void close_now();              // the same, not waiting for messages that have begun
   [[nodiscard]] bool closed();   // no connection is left
   void close_all();              // close_now, waited for, and the end of the thread
+  // Connections let in, and those ended at a limit: a message not whole in time, answers left unread, room
+  // for others, a queue that was full.
+  struct Counts {
+    std::atomic<std::uint64_t> accepted{0}, late{0}, unread{0}, room{0}, cut{0};
+  };
+  [[nodiscard]] const Counts& counts() const { return counts_; }
   // Hands it to the open connection last heard of that takes it; false: there is none.
   bool push_to_any(const std::string& bytes);
 
@@ -141,6 +153,7 @@
   const Joined joined_;
   std::mutex lock_;
   std::condition_variable changed_;
+  Counts counts_;
   std::unordered_map<Peer*, std::shared_ptr<Peer>> peers_;
   std::shared_ptr<Listener> listener_;
   std::unique_ptr<Loop> loop_;  // last: its turns end before what they use
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -37,6 +37,7 @@
   void close_idle() { door_.close_idle(); }
   void close_now() { door_.close_now(); }
   [[nodiscard]] bool closed() { return door_.closed(); }
+  [[nodiscard]] const net::Door::Counts& connections() const { return door_.counts(); }
   void close_all() { door_.close_all(); }  // waits until every connection has ended
 
   bool stands(CallId call, const std::string& description) override;
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -429,6 +429,24 @@
   EXPECT_EQ(back.substr(0, line.size()), line);
 }
 
+// It is ended for that after 2 s; one that is quiet in the middle of a message, or from the start, as late.
+TEST(Door, EachLimitEndsAPeerInItsTimeAndSaysWhich) {
+  Held unread, late, silent;
+  const std::string line = std::string(8000, 'x') + "\n";
+  for (int n = 0; n < 400 && ::send(unread.far.get(), line.data(), line.size(), MSG_DONTWAIT) > 0; ++n)
+    unread.peer->turn(true);
+  ASSERT_TRUE(net::write_all(late.far, "whole\nhalf"));
+  late.peer->turn(true);
+  net::pause_until(net::now() + std::chrono::milliseconds(2100));
+  for (Held* held : {&unread, &late, &silent}) {
+    held->peer->turn(false);
+    EXPECT_TRUE(held->over);
+  }
+  EXPECT_EQ(unread.peer->why(), net::Peer::End::unread);
+  EXPECT_EQ(late.peer->why(), net::Peer::End::late);
+  EXPECT_EQ(silent.peer->why(), net::Peer::End::late);
+}
+
 // A message cut at every byte: the parts come as they may, the answer is the same and comes once.
 TEST(Door, MessageCutAtEveryByteIsAnsweredOnce) {
   const std::string message = "one message of some length\n";
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -281,6 +281,10 @@
   EXPECT_EQ(half.next(), "end");
   served.send("OPTIONS #1");  // may stay quiet as long as it likes
   EXPECT_EQ(served.next().rfind("SIP/2.0 200", 0), 0U);
+  stop();
+  EXPECT_NE(seen_.find("3 let in; ended at a limit: 2 late, 0 left unread, 0 for room, 0 with"),
+            std::string::npos)
+      << seen_;
 }
 
 // The refusal of a body far too long arrives although most of the body is still on its way.
@@ -354,6 +358,10 @@
   for (int i = 0; !cut && i < 200; ++i) cut = !net::write_all(net::Fd(::dup(slow.fd())), many, soon());
   EXPECT_TRUE(cut);
   play(kCallStandsAtA);
+  stop();
+  // By which limit is the kernel's: where its receive buffer is full, what it sends may be late as well.
+  EXPECT_NE(seen_.find("2 let in; ended at a limit: "), std::string::npos) << seen_;
+  EXPECT_EQ(seen_.find("limit: 0 late, 0 left unread, 0 for room, 0 with"), std::string::npos) << seen_;
 }
 
 TEST_F(Platform, TestPassesOnlyWithOfficesKnown) {
--- a/tools/reeltackctl/mgmt.cpp
+++ b/tools/reeltackctl/mgmt.cpp
@@ -27,11 +27,7 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
-net::Address address(const Options& o) {
-  const auto out = net::parse_address(o.address);
-  if (!out) throw mgmt::MgmtError("'" + o.address + "' must be an address as 127.0.0.1:2906");
-  return *out;
-}
+net::Address address(const Options& o) { return net::parse_address(o.address).value(); }  // checked
 
 int ready(const Options& o, const Shared& shared) {
   const net::Address at = address(o);
@@ -110,7 +106,14 @@
   const auto add = [&](const char* name, const char* words, int (*what)(const Options&, const Shared&)) {
     CLI::App* c = m->add_subcommand(name, words);
     c->fallthrough();
-    c->add_option("address", o->address, "HOST:PORT, as the configuration's mgmt or PROXY_MGMT")->required();
+    c->add_option("address", o->address, "HOST:PORT, as the configuration's mgmt or PROXY_MGMT")
+        ->required()
+        ->check(CLI::Validator(
+            [](std::string& text) {
+              return net::parse_address(text) ? std::string()
+                                              : "'" + text + "' must be an address as 127.0.0.1:2906";
+            },
+            "HOST:PORT"));
     c->callback([o, what, &shared] { shared.result = what(*o, shared); });
     return c;
   };
