Check trunk files by the tool; test messages cut at every byte; number a link before its first turn

Observed on reading: OfficeLink::begin let a link's first turn run before its loop number was stored (offices.cpp). A turn takes the link's lock first, so the number is now stored under it. reeltackctl trunk check and schema; SIP and bulletin samples cut at every byte.

--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -63,7 +63,10 @@
  public:
   OfficeLink(core::Core& core, net::Loop& loop, ServerId id, Duration dial_limit)
       : core_(core), loop_(loop), id_(id), dial_limit_(dial_limit) {}
-  void begin() { watch_ = loop_.add(shared_from_this()); }
+  void begin() {
+    const std::lock_guard hold(lock_);  // its first turn waits until it knows its own number
+    watch_ = loop_.add(shared_from_this());
+  }
 
   // Not again after it was told as gone: what comes back under the id gets a new link.
   void listed(const OfficeEntry& office) {
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -305,6 +305,41 @@
   EXPECT_NE(zone.find("other.t.example.", dns::kA), nullptr);
 }
 
+// Cut at any byte, a message is waited for; whole, it is taken with its length, and what follows is left.
+TEST(Cuts, NoPartOfASipMessageIsTakenOrRefused) {
+  const std::string whole =
+      "\r\nINVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b1f03aa5c7e2d41\r\n"
+      "CSeq: 1 INVITE\r\nSubject: voice\r\nX-Patience: 1500\r\nContent-Length: "
+      "12\r\n\r\na\r\n\r\nb\r\n\r\nc\xc3";
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    platform::SipMessage message;
+    std::size_t used = 0;
+    EXPECT_EQ(platform::parse_sip(whole.substr(0, cut), message, used), platform::Parsed::more) << cut;
+    EXPECT_LE(used, cut == 2 ? 2U : 0U) << cut;  // a blank line before a message may go
+  }
+  platform::SipMessage message;
+  std::size_t used = 0;
+  EXPECT_EQ(platform::parse_sip(whole + "BYE", message, used), platform::Parsed::whole);
+  EXPECT_EQ(used, whole.size());
+  EXPECT_EQ(message.body.size(), 12U);
+}
+TEST(Cuts, NoPartOfABulletinFrameIsTaken) {
+  const std::string whole = std::string("\0\0\0\x24", 4) + std::string("\0\0\0\0\0\0\0\2\2", 9) +
+                            std::string("\0\0\0\x0a\x7f\0\0\1\x0f\xa0\0", 11) +
+                            std::string("\0\0\0\0\0\0\3\xe8\0\0\0\0\0\0\0\0", 16);
+  std::size_t used = 0;
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    EXPECT_FALSE(platform::parse_frame(whole.substr(0, cut), used)) << cut;
+    EXPECT_EQ(used, 0U) << cut;
+  }
+  const auto frame = platform::parse_frame(whole + "next", used);
+  ASSERT_TRUE(frame);
+  EXPECT_EQ(used, whole.size());
+  EXPECT_EQ(frame->number, 2U);
+  ASSERT_EQ(frame->offices.size(), 1U);
+  EXPECT_EQ(frame->offices[0].address, "127.0.0.1:4000");
+}
+
 // How many of `n` new connections the listener is given: those already let in, without waiting.
 int let_in(const net::Fd& listener) {
   int n = 0;
--- a/tools/reeltackctl/trunk.cpp
+++ b/tools/reeltackctl/trunk.cpp
@@ -6,6 +6,8 @@
 
 #include "admin/admin.h"
 #include "commands.h"
+#include "config/trunks.h"
+#include "yaml/document.h"
 
 namespace reeltack::ctl {
 namespace {
@@ -68,12 +70,34 @@
   return kGood;
 }
 
+// As the program would read it at its start.
+int check(const std::string& file, const Shared& shared) {
+  try {
+    const auto groups = config::read_trunks(file);
+    json out{{"sound", true}, {"groups", json::array()}};
+    for (const auto& g : groups) out["groups"].push_back({{"name", g.name}, {"circuits", g.group.size}});
+    if (shared.json) {
+      std::cout << out.dump() << "\n";
+      return kGood;
+    }
+    for (const auto& g : groups) std::cout << g.name << ": " << g.group.size << " circuits\n";
+    std::cout << file << ": sound\n";
+    return kGood;
+  } catch (const yaml::Error& error) {
+    if (shared.json)
+      std::cout << json{{"sound", false}, {"error", error.what()}}.dump() << "\n";
+    else
+      std::cerr << error.what() << "\n";
+    return kFailed;
+  }
+}
+
 }  // namespace
 
 void add_trunk(CLI::App& app, Shared& shared) {
   auto o = std::make_shared<Options>();
-  CLI::App* trunk =
-      app.add_subcommand("trunk", "Trunk groups of a running reeltack: status, audit, block, unblock");
+  CLI::App* trunk = app.add_subcommand(
+      "trunk", "Trunk groups of a running reeltack: status, audit, block, unblock; check of its file");
   trunk->require_subcommand(1);
   trunk->add_option("--socket", o->socket, "The operators' socket of the program")->capture_default_str();
   const auto add = [&](const char* name, const char* words, bool range, const std::string& command) {
@@ -88,6 +112,17 @@
     if (!command.empty()) c->callback([o, command, &shared] { shared.result = order(*o, command, shared); });
     return c;
   };
+  auto file = std::make_shared<std::string>();
+  CLI::App* c =
+      trunk->add_subcommand("check", "All that is wrong with a file of trunk groups, with line and key");
+  c->fallthrough();
+  c->add_option("file", *file, "FILE.yaml, as the fronts file names it")
+      ->required()
+      ->check(CLI::ExistingFile);
+  c->callback([file, &shared] { shared.result = check(*file, shared); });
+  trunk->add_subcommand("schema", "Print the schema of that file")->callback([] {
+    std::cout << config::trunks_schema() << "\n";
+  });
   CLI::App* s = add("status", "A line a group; with --circuits their states", false, "");
   s->add_option("group", o->trunk, "One group alone");
   s->add_flag("--circuits", o->circuits, "The state of each circuit (of one group)")->needs("group");
