Leave a successor its share of the descriptors from SIGTERM on

Need: for the limits two processes are one controller; each may hold 60% of the descriptors for callers. Change: on yielding the port the old one keeps a third at the most (usual callers hold no more), and ends the silent and idle beyond it. Road not taken: halving the share of the new one, which can't know whether an old one is there.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -36,6 +36,8 @@
 // still waits is refused, for a call that the kill finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
 constexpr Duration kBeforeKilled = 350ms;
+// Usual callers hold a third of the descriptors at the most; after SIGTERM a successor shares the limit.
+constexpr std::size_t kYieldedShare = 3;
 // The list that the configuration holds is the module's so soon, whatever the load.
 constexpr Duration kListTaken = 500ms;
 // READY waits for the first list so long at the most: without one, requests are refused, not lost.
@@ -236,8 +238,8 @@
 
   wait_for_end([&] { reload(node, bulletin, list); });
   net::log_line("asked to end: answering what was taken");
-  sip.yield();
-  websocket.yield();
+  sip.yield(node.limits.sockets / kYieldedShare);
+  websocket.yield(fronts.websocket_connections);
   answer_all(core, node.settings, sip);
   management.close();
   operators.close();
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -238,8 +238,11 @@
   listener_->id = loop_->add(listener_);
   loop_->start();
 }
-void Door::yield() const {
-  if (listener_) yield_port(listener_->fd);
+void Door::yield(std::size_t most) {
+  if (!listener_) return;
+  yield_port(listener_->fd);
+  most_ = std::min(most, most_.load());
+  loop_->wake(listener_->id);  // its turn makes room
 }
 void Door::stop_accepting() {
   if (!listener_) return;
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -125,12 +125,14 @@
   Door(const Door&) = delete;
   Door& operator=(const Door&) = delete;
   void open(const Address& at);  // throws std::runtime_error; its thread begins
-  void yield() const;            // new connections go to a successor, if one listens beside
-  void stop_accepting();         // whoever the kernel has let in already is taken in first
-  void close_idle();             // stops accepting; ends each connection once it may be ended (Peer::close)
-  void close_now();              // the same, not waiting for messages that have begun
-  [[nodiscard]] bool closed();   // no connection is left
-  void close_all();              // close_now, waited for, and the end of the thread
+  // New connections go to a successor, if one listens beside, which shares our limits: no more than `most`
+  // are held from now on, where they can be spared.
+  void yield(std::size_t most);
+  void stop_accepting();        // whoever the kernel has let in already is taken in first
+  void close_idle();            // stops accepting; ends each connection once it may be ended (Peer::close)
+  void close_now();             // the same, not waiting for messages that have begun
+  [[nodiscard]] bool closed();  // no connection is left
+  void close_all();             // close_now, waited for, and the end of the thread
   // Connections let in, and those ended at a limit: a message not whole in time, answers left unread, room
   // for others, a queue that was full.
   struct Counts {
@@ -148,7 +150,7 @@
   void make_room();  // with the lock held
   void close_peers(bool now);
   bool place();  // for one more; asks others to end where there is none
-  const std::size_t most_;
+  std::atomic<std::size_t> most_;
   const Make make_;
   const Joined joined_;
   std::mutex lock_;
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -32,7 +32,7 @@
  public:
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
-  void yield() const { door_.yield(); }                  // to a successor, if one listens beside this program
+  void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
   // The end: each connection once no set-up is open on it, then those in the middle of a message as well.
   void close_idle() { door_.close_idle(); }
   void close_now() { door_.close_now(); }
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -26,7 +26,7 @@
   };
   Front(core::Core& core, core::OfficeList& list, Setup setup);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
-  void yield() const { door_.yield(); }                  // to a successor, if one listens beside this program
+  void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
   void close_all() { door_.close_all(); }
   [[nodiscard]] bool owns(ServerId office);  // it is a centrale of this front
 
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -391,6 +391,37 @@
   EXPECT_NE(seen_.find("2 requests, 2 stood"), std::string::npos) << seen_;
 }
 
+// A successor shares the limits: idle connections beyond a third of the descriptors are ended, a call's own
+// is not.
+TEST_F(Platform, TermLeavesASuccessorItsDescriptors) {
+  sockets_ = 96;  // 57 callers, 32 from SIGTERM on
+  start();
+  play(kBothUp);
+  play(kCallOpenAtA);
+  std::vector<StandIn> others;
+  for (int i = 0; i < 45; ++i) {
+    others.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
+    others.back().send("OPTIONS 0000000000000001");
+    ASSERT_EQ(others.back().next().rfind("SIP/2.0 200", 0), 0U) << i;
+  }
+  ::kill(child_, SIGTERM);
+  const Time by = soon();
+  const auto ended = [&others] {
+    return std::count_if(others.begin(), others.end(), [](const StandIn& s) {
+      char c;
+      return ::recv(s.fd(), &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    });
+  };
+  while (ended() < 14 && net::now() < by) net::pause_until(net::now() + 1ms);
+  EXPECT_GE(ended(), 14);  // 46 with the call's own, less 32
+  play(R"(
+    a send {"verb":"STARTED","tag":"#1","opts":{},"blob":"by a"}
+    c expect 200 #1
+  )");
+  stop();
+  EXPECT_NE(seen_.find("0 left unread, 14 for room"), std::string::npos) << seen_;
+}
+
 // While a set-up is open on a connection, others may come on it, whenever SIGTERM was: each has its answer.
 TEST_F(Platform, TermAnswersWhatComesOnAConnectionWithAnOpenSetUp) {
   start();
