Answer a WebSocket client before its connection may end; share the tests' idle callers

Observed on reading the whole change: Front::tell closed the call on its connection before pushing the answer (ws/front.cpp), so that a connection told to end could finish in between.

--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -233,8 +233,8 @@
   const Socket socket = found->second.lock();
   if (last) listening_.erase(found);
   if (!socket) return;  // dropped: the client may ask for the status
-  socket->closed(call);
   socket->tell("{\"call\":\"" + id_of(call) + "\"," + std::string(fields) + "}");
+  socket->closed(call);  // only now: a connection without an open set-up may end at any time
 }
 
 bool Front::stands(CallId call, const std::string& description) {
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -231,6 +231,15 @@
     return peers_[office] = StandIn(StandIn::Kind::lines, std::move(fd));
   }
 
+  // A caller without a call, served once; or one that says nothing.
+  [[nodiscard]] StandIn idle_caller(bool silent = false) const {
+    StandIn out(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
+    if (silent) return out;
+    out.send("OPTIONS 0000000000000001");
+    EXPECT_EQ(out.next().rfind("SIP/2.0 200", 0), 0U);
+    return out;
+  }
+
   void play(const std::string& script) {
     std::istringstream lines(script);
     for (std::string line; std::getline(lines, line);) {
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -306,12 +306,7 @@
   play(kBothUp);
   play(kCallStandsAtA);
   std::vector<StandIn> others;
-  for (int i = 0; i < 150; ++i) {
-    others.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
-    if (i % 3 == 0) continue;  // says nothing
-    others.back().send("OPTIONS 0000000000000001");
-    ASSERT_EQ(others.back().next().rfind("SIP/2.0 200", 0), 0U) << i;
-  }
+  for (int i = 0; i < 150; ++i) others.push_back(idle_caller(i % 3 == 0));
   play(R"(
     a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16}
     c expect BYE #1 cause=16
@@ -399,11 +394,7 @@
   play(kBothUp);
   play(kCallOpenAtA);
   std::vector<StandIn> others;
-  for (int i = 0; i < 45; ++i) {
-    others.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
-    others.back().send("OPTIONS 0000000000000001");
-    ASSERT_EQ(others.back().next().rfind("SIP/2.0 200", 0), 0U) << i;
-  }
+  for (int i = 0; i < 45; ++i) others.push_back(idle_caller());
   ::kill(child_, SIGTERM);
   const Time by = soon();
   const auto ended = [&others] {
