Keep an owed release until a caller that is still there takes it

Examined: each step of a release (SipFront::released, Door::push_to_any, SipFront::joined, the office's line). Ruled out: a dead office (no log line), a push refused (it goes to another). Change: only a connection whose far end is open takes it, else it stays owed.

--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -179,8 +179,10 @@
 
 void SipFront::joined(net::Peer& connection) {
   const std::lock_guard hold(lock_);
-  for (std::string& line : owed_) connection.push(std::move(line));
-  owed_.clear();
+  // One that has left before it was let in would take them with it.
+  std::erase_if(owed_, [&connection](const std::string& line) {
+    return connection.listens() && connection.push(line);
+  });
 }
 
 bool SipFront::take(const std::shared_ptr<SipConnection>& from, const SipMessage& message) {
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -71,6 +71,24 @@
   )");
 }
 
+// No connection is open when the office releases: the release waits for the next caller, and one that has
+// left before it was let in is not that one.
+TEST_F(Platform, OwedReleaseIsNotSpentOnACallerThatHasLeft) {
+  start();
+  play(kBothUp);
+  play(kCallStandsAtA);
+  play("c close");
+  play(R"(a send {"verb":"FINISH","tag":"#1","opts":{},"rc":16})");
+  net::pause_until(net::now() + 100ms);  // the release is owed now; later, it goes to d all the same
+  ::kill(child_, SIGSTOP);               // lets the kernel take in both before the program does
+  net::dial({host(0), 5000}, soon()).fd.reset();
+  StandIn& d = open("d", "sip");
+  ::kill(child_, SIGCONT);
+  const std::string told = d.next();
+  EXPECT_NE(told.find("BYE "), std::string::npos) << told;
+  EXPECT_NE(told.find("0000000000000001"), std::string::npos) << told;
+}
+
 // Known traffic through the stand-in offices; the figures must be what the offices and callers saw, exactly.
 TEST_F(Platform, FiguresAreWhatTheOfficesAndCallersSaw) {
   mgmt_ = true;
