Decide a caller's limits and an office's reach in classes without I/O

Cause: Peer::turn and OfficeLink decided between system calls, so that their bounds could be tested by the wall clock only; watch and measure held the same loop twice. Change: limits::Patience and membership::Reach, told the time; Peer and OfficeLink carry out what they say; mgmt::watch_figures in place of two loops. Two things change: time in which nothing is taken from a crowded caller no longer counts against its message, and a quiet connection with something unread is read before a new one takes its place.

--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -157,7 +157,7 @@
 
 class UpdatePeer final : public net::Peer {
  public:
-  UpdatePeer(Updates& updates, net::Fd fd) : net::Peer(std::move(fd)), updates_(updates) {}
+  UpdatePeer(Updates& updates, net::Fd fd) : net::Peer(std::move(fd), kIdle), updates_(updates) {}
 
  protected:
   Next received() override {
@@ -173,7 +173,6 @@
       if (!push(out + answer)) return Next::end;
     }
   }
-  [[nodiscard]] Duration quiet_after() const override { return kIdle; }
   Next quiet() override { return Next::end; }
   void left(const std::set<CallId>& /*open*/) override {}
 
--- /dev/null
+++ b/src/membership/reach.cpp
@@ -0,0 +1,72 @@
+#include "membership/reach.h"
+
+#include <algorithm>
+
+namespace reeltack::membership {
+
+bool Reach::told(const ServerEntry& entry) {
+  const bool restarted = entry.started_at > started_at_ && started_at_ != Time::min();
+  started_at_ = entry.started_at;
+  if (restarted) dead_ = false;
+  ready_ = entry.state == ServerState::ready;
+  gone_ = gone_ || entry.state == ServerState::gone;
+  retry_at_ = {};
+  return gone_ || restarted;
+}
+
+bool Reach::failed(Dialled how, Time at) {
+  // A refused connection after one that stood: the process has died, and its calls with it.
+  const bool died = how == Dialled::refused && was_up_;
+  // Another process may take over the address: no dialling for nothing until this one is told as started.
+  dead_ = dead_ || died;
+  if (died) was_up_ = false;
+  retry_at_ = at + settings_.look;
+  return died;
+}
+
+void Reach::up(Time at) {
+  heard_ = at;
+  waits_.reset();
+  was_up_ = true;
+  dead_ = false;
+}
+
+void Reach::ended(Time at) { retry_at_ = at + settings_.again; }
+
+void Reach::heard(Time at) {
+  heard_ = at;
+  waits_.reset();
+}
+
+bool Reach::left(Time at) {
+  if (waits_) return false;
+  waits_ = at;
+  return true;
+}
+
+// A quiet connection stays open for ever, whether it alone is cut off or the machine has vanished. A new one
+// that comes up takes the place of the old; without one for long enough the calls are over.
+Reach::Asked Reach::asked(Dialled how, Time at) {
+  asked_ = at;
+  if (how == Dialled::up) return Asked::replaced;
+  if (how == Dialled::refused) return Asked::drop;
+  if (at < heard_ + settings_.lost) return Asked::wait;
+  was_up_ = false;
+  dead_ = true;
+  return Asked::lost;
+}
+
+Time Reach::dial_at(bool open, bool owed) const {
+  if (open) return Time{};  // at once
+  const bool wanted = !gone_ && !dead_ && (ready_ || calls_stand_ || owed);
+  return wanted ? retry_at_ : Time::max();
+}
+
+Time Reach::ask_at() const {
+  Time at = Time::max();
+  if (waits_) at = *waits_ + settings_.unheard;
+  if (calls_stand_) at = std::min(at, heard_ + settings_.quiet);
+  return at == Time::max() ? at : std::max(at, asked_ + settings_.look);
+}
+
+}  // namespace reeltack::membership
--- /dev/null
+++ b/src/membership/reach.h
@@ -0,0 +1,66 @@
+// Whether one office can be reached, and what its silence means for the calls that stand there.
+//
+// Owns: what the list tells of it, what dialling and its connection have shown, and when to try or ask next.
+// Must never: do I/O, read a clock, hold a call, or choose an office for one.
+//
+// Threads: none; whoever owns it calls it under its own lock. Times are absolute and told. Equal inputs give
+// equal outputs. Nothing allocates.
+#pragma once
+
+#include <optional>
+
+#include "reeltack/controller.h"
+
+namespace reeltack::membership {
+
+struct ReachSettings {
+  Duration quiet = std::chrono::milliseconds(2500);  // without a word while calls stand: it is asked for
+  Duration unheard = std::chrono::seconds(1);        // without a word since a set-up left: the same
+  Duration look =
+      std::chrono::milliseconds(250);  // until it is asked again, or dialled again after a failure
+  Duration again = std::chrono::milliseconds(20);   // after a connection that had come up has ended
+  Duration lost = std::chrono::milliseconds(5500);  // without a word or a new connection: the machine is gone
+};
+
+class Reach {
+ public:
+  enum class Dialled { up, refused, failed };
+  explicit Reach(ReachSettings settings = {}) : settings_(settings) {}
+
+  // The list. True: the process that an open connection leads to is told as gone or as another.
+  bool told(const ServerEntry& entry);
+  void keep(bool calls_stand) { calls_stand_ = calls_stand; }
+
+  // What was dialled without a connection: true where calls that stand there are over, for the process has
+  // died.
+  bool failed(Dialled how, Time at);
+  void up(Time at);
+  void ended(Time at);  // the connection
+  void heard(Time at);  // a word on it
+  bool left(Time at);   // a set-up; true: from now on an answer is waited for
+  // What came of asking, by a second connection beside a quiet one.
+  enum class Asked { wait, replaced, drop, lost };
+  Asked asked(Dialled how, Time at);
+
+  [[nodiscard]] bool ready() const { return ready_; }
+  [[nodiscard]] bool gone() const { return gone_; }
+  // When a connection is to be dialled; Time::max(): not at all. `open`: set-ups wait for it. `owed`:
+  // releases do.
+  [[nodiscard]] Time dial_at(bool open, bool owed) const;
+  [[nodiscard]] Time ask_at() const;  // of an open connection; Time::max(): it may stay quiet
+
+ private:
+  ReachSettings settings_;
+  Time started_at_ = Time::min();
+  Time retry_at_{};
+  Time heard_{};
+  Time asked_{};
+  std::optional<Time> waits_;  // since when a set-up that left has heard nothing
+  bool ready_ = false;
+  bool gone_ = false;  // for good
+  bool calls_stand_ = false;
+  bool was_up_ = false;
+  bool dead_ = false;  // it died, and nothing has told of a new start
+};
+
+}  // namespace reeltack::membership
--- a/src/mgmt/client.cpp
+++ b/src/mgmt/client.cpp
@@ -56,6 +56,21 @@
   }
 }
 
+Watch watch_figures(const net::Address& at, Duration every, const std::function<bool(Time)>& more) {
+  constexpr Duration kGivenUp = std::chrono::seconds(4);
+  Watch out;
+  for (Time planned = net::now(); more(planned); planned += every) {
+    net::pause_until(planned);
+    try {
+      parse_figures(ask(at, "STATS", planned + kGivenUp).text);
+      out.took(net::now() - planned);
+    } catch (const MgmtError& error) {
+      out.failed(error.what());
+    }
+  }
+  return out;
+}
+
 std::size_t Watch::late(Duration bound) const {
   return static_cast<std::size_t>(
       std::count_if(times_.begin(), times_.end(), [bound](Duration d) { return d > bound; }));
--- a/src/mgmt/client.h
+++ b/src/mgmt/client.h
@@ -7,6 +7,7 @@
 // what came instead. Times: absolute deadlines of the Unix clock; spans in nanoseconds.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -49,4 +50,9 @@
   std::vector<std::string> failures_;
 };
 
+// Asks for the figures each `every`, while `more` says so of the next planned instant; blocks until then. A
+// time counts from its planned instant, so that a slow answer does not hide those that should have followed
+// it.
+Watch watch_figures(const net::Address& at, Duration every, const std::function<bool(Time)>& more);
+
 }  // namespace reeltack::mgmt
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -15,8 +15,6 @@
 // Those over the limit that may wait while idle ones are asked to end.
 constexpr std::size_t kOverflow = 32;
 constexpr int kMostAtOnce = 32;  // accepted in a turn, so that a flood does not keep the others waiting
-// A message must be whole so soon after its first byte, and the first one after the connection came up.
-constexpr Duration kWhole = std::chrono::seconds(2);
 // A peer that has said nothing for so long may be spared: usual ones send as soon as they are connected.
 constexpr Duration kShy = std::chrono::milliseconds(250);
 // What a peer still sends after its last answer is read and dropped within these bounds.
@@ -25,6 +23,9 @@
 
 }  // namespace
 
+Peer::Peer(Fd fd, Duration quiet)
+    : fd_(std::move(fd)), patience_(limits::PatienceSettings{.quiet = quiet}, connected_) {}
+
 void Peer::begin(Loop& loop, std::function<void(Peer&)> over) {
   loop_ = &loop;
   ended_ = std::move(over);
@@ -33,50 +34,54 @@
 
 void Peer::turn(bool ready) {
   if (stage_ == Stage::over) return;
-  const Time read_by = outbox_.due();
-  const Outbox::Flushed how = outbox_.flush(fd_);
-  if (how == Outbox::Flushed::broken && stage_ < Stage::writing)
-    end_reading(cut_ ? End::cut : retiring_ ? End::room : now() >= read_by ? End::unread : End::peer);
-  if (stage_ == Stage::reading) {
-    if (ready && !outbox_.crowded()) read();
-    const Time at = now();
-    if (!outbox_.crowded()) {
-      crowded_ = kNever;
-    } else if (crowded_ == kNever) {
-      crowded_ = at;  // nothing more is taken from a peer that leaves its answers unread: they would pile up
-    }
-    if (stage_ == Stage::reading && may_close()) end_reading(End::own);
-    if (stage_ == Stage::reading && crowded_ != kNever && at >= crowded_ + kWhole) end_reading(End::unread);
-    if (stage_ == Stage::reading && crowded_ == kNever && at >= due()) {
-      late();
-      end_reading(End::late);
-    } else if (stage_ == Stage::reading && at >= quiet_at()) {
-      looked_ = at;
-      if (quiet() == Next::end) end_reading(End::own);
-    }
-  }
+  if (outbox_.flush(fd_) == Outbox::Flushed::broken && stage_ == Stage::reading) end_reading(broken());
+  if (stage_ == Stage::reading && ready && !outbox_.crowded()) read();
+  if (stage_ == Stage::reading) keep_to_limits();
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
   if (stage_ == Stage::draining) drain();
   if (stage_ != Stage::over) arm();
 }
 
 void Peer::read() {
-  fresh_ = buffer_.view().empty();
   const Got got = retiring_ ? Got::closed : buffer_.fill_now(fd_);
-  if (got == Got::closed) return end_reading(retiring_ ? End::room : cut_ ? End::cut : End::peer);
+  if (got == Got::closed) return end_reading(broken());
   if (got == Got::late) return;
   const Time at = now();
   heard_ = at.time_since_epoch().count();
-  looked_ = at;
-  if (fresh_) begun_ = at;
+  patience_.came(at);
   const Next next = received();
-  fresh_ = buffer_.view().empty();
+  patience_.in_hand(!buffer_.view().empty());
   if (next == Next::end) end_reading(End::own);
 }
 
+// Nothing more is taken from a peer that leaves its answers unread: they would pile up.
+void Peer::keep_to_limits() {
+  const Time at = now();
+  patience_.crowded(outbox_.crowded(), at);
+  if (may_close()) return end_reading(End::own);
+  const auto overdue = patience_.overdue(at);
+  if (!overdue) return;
+  switch (*overdue) {
+    case limits::Overdue::unread:
+      return end_reading(End::unread);
+    case limits::Overdue::late:
+      late();
+      return end_reading(End::late);
+    case limits::Overdue::quiet:
+      patience_.asked(at);
+      if (quiet() == Next::end) end_reading(End::own);
+  }
+}
+
+Peer::End Peer::broken() const {
+  if (retiring_) return End::room;
+  if (cut_) return End::cut;
+  return outbox_.unread() ? End::unread : End::peer;
+}
+
 bool Peer::may_close() const {
   const Closing how = closing_;
-  if (how == Closing::no || (!fresh_ && how != Closing::now)) return false;
+  if (how == Closing::no || (patience_.begun() && how != Closing::now)) return false;
   const std::lock_guard hold(lock_);
   return open_.empty() && !fd_.unread();
 }
@@ -131,8 +136,7 @@
   const bool reads = (stage_ == Stage::reading && !outbox_.crowded()) || stage_ == Stage::draining;
   const bool kept = loop_->watch(id_, fd_, reads, outbox_.behind());
   Time at = outbox_.due();
-  if (stage_ == Stage::reading)
-    at = std::min({at, quiet_at(), crowded_ == kNever ? due() : crowded_ + kWhole});
+  if (stage_ == Stage::reading) at = std::min(at, patience_.next());
   if (stage_ == Stage::draining) at = std::min(at, drained_by_);
   loop_->due(id_, at);
   if (!kept) {  // the kernel would not tell of it
@@ -182,10 +186,10 @@
 // Kept is all that has a set-up open, has said what is not yet read or taken, or has not been written its
 // answer: where the processor is short, the loop may come to these late.
 Peer::Spare Peer::spare_now() const {
-  if (over_ || retiring_ || closing_ != Closing::no || !fresh_ || !open_.empty() || outbox_.behind() ||
-      fd_.unread())
+  if (over_ || retiring_ || closing_ != Closing::no || patience_.begun() || !open_.empty() ||
+      outbox_.behind() || fd_.unread())
     return Spare::kept;
-  if (!served_) return heard() + kShy < now() ? Spare::silent : Spare::kept;
+  if (!patience_.served()) return heard() + kShy < now() ? Spare::silent : Spare::kept;
   return standing_.empty() ? Spare::idle : Spare::standing;
 }
 void Peer::retire() {
@@ -198,18 +202,7 @@
   closing_ = now ? Closing::now : Closing::when_idle;
   loop_->wake(id_);
 }
-Time Peer::due() const {
-  if (!buffer_.view().empty()) return begun_ + kWhole;
-  return served_ ? kNever : connected_ + kWhole;
-}
-Time Peer::quiet_at() const {
-  const Duration after = quiet_after();
-  return after == Duration::max() ? kNever : looked_ + after;
-}
-void Peer::whole() {
-  served_ = true;
-  begun_ = now();
-}
+void Peer::whole() { patience_.whole(now()); }
 Peer::Next Peer::hang_up() {
   drains_ = true;
   return Next::end;
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 
+#include "limits/patience.h"
 #include "net/loop.h"
 
 namespace reeltack::net {
@@ -19,7 +20,8 @@
 // loop's thread; what others call (push, cut, opened, stood, closed) may come from any.
 class Peer : public Watched, public std::enable_shared_from_this<Peer> {
  public:
-  explicit Peer(Fd fd) : fd_(std::move(fd)) {}
+  // `quiet`: after such a silence quiet() asks; max: it may stay quiet.
+  explicit Peer(Fd fd, Duration quiet = Duration::max());
 
   // `over` is called once, on the loop's thread, when the connection has ended and may be let go.
   void begin(Loop& loop, std::function<void(Peer&)> over);
@@ -61,8 +63,7 @@
   virtual Next received() = 0;
   // The message in the buffer, or the first one, was not whole in time; the last words may be pushed.
   virtual void late() {}
-  // Nothing has come for so long, and nothing is begun; asked again after as long. kNever: it may stay quiet.
-  [[nodiscard]] virtual Duration quiet_after() const { return Duration::max(); }
+  // Nothing has come for so long; asked again after as long.
   virtual Next quiet() { return Next::more; }
   // After the last read, with the set-ups that were open here.
   virtual void left(const std::set<CallId>& open) = 0;
@@ -81,10 +82,8 @@
   void drain();
   void end();
   void arm();
-  // By when the message in hand must be whole: a peer that has sent none is given as long as one that is in
-  // the middle of one; one that has may stay quiet for good.
-  [[nodiscard]] Time due() const;
-  [[nodiscard]] Time quiet_at() const;
+  void keep_to_limits();
+  [[nodiscard]] End broken() const;       // why, where it could not be read or written
   [[nodiscard]] Spare spare_now() const;  // with the lock held
 
   Fd fd_;
@@ -96,18 +95,14 @@
   Stage stage_ = Stage::reading;
   End why_ = End::peer;
   const Time connected_ = now();
-  Time begun_ = connected_;   // of the message in the buffer
-  Time looked_ = connected_;  // since when it is quiet
-  Time crowded_ = kNever;     // since when it leaves too much unread
+  limits::Patience patience_;
   Time drained_by_ = kNever;
   std::size_t drained_ = 0;
   bool drains_ = false;
-  bool fresh_ = true;  // nothing is in hand
 
   mutable std::mutex lock_;
   std::set<CallId> open_;
   std::set<CallId> standing_;
-  std::atomic<bool> served_{false};  // a whole message came
   std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
   std::atomic<bool> retiring_{false};
   enum class Closing { no, when_idle, now };
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -242,7 +242,8 @@
     leaving_ = {};
     read_by_ = kNever;
   } else if (now() >= read_by_) {
-    sound = false;  // a peer that does not read in time
+    unread_ = true;
+    sound = false;
   }
   closed_ = closed_ || !sound;
   return sound;
@@ -301,6 +302,10 @@
   const std::lock_guard hold(lock_);
   return queued_ + leaving_.size() > kMuchQueued;
 }
+bool Outbox::unread() const {
+  const std::lock_guard hold(lock_);
+  return unread_;
+}
 Time Outbox::due() const {
   const std::lock_guard hold(lock_);
   return read_by_;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -97,6 +97,7 @@
   void abandon();                      // nothing more leaves
   [[nodiscard]] bool behind() const;   // something is still unwritten
   [[nodiscard]] bool crowded() const;  // so much that no more should be read of its peer
+  [[nodiscard]] bool unread() const;   // it broke because a message was not read in time
   [[nodiscard]] Time due() const;      // by when its peer must have read what is being written
 
  private:
@@ -118,6 +119,7 @@
   bool busy_ = false;  // a flush is at it, and takes what is queued meanwhile
   bool finishing_ = false;
   bool closed_ = false;
+  bool unread_ = false;
 };
 
 }  // namespace reeltack::net
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/json.h"
+#include "membership/reach.h"
 
 namespace reeltack::platform {
 
@@ -31,22 +32,16 @@
 
 using namespace std::chrono_literals;
 
-// Lines change all the time while calls stand, and the office tells: after so long without a word a new
-// connection is tried.
-constexpr Duration kQuiet = 2500ms;
-// A set-up that left and not a word since: an open connection can be as dead as the machine behind it.
-constexpr Duration kUnheard = 1s;
-constexpr Duration kLook = 250ms;  // so long until it is asked again, or dialled again after a failure
-constexpr Duration kAgain = 20ms;  // after a connection that had come up has ended
-// Without a word and without a new connection for so long, the machine is gone and its calls with it. Their
-// callers must hear within 8 s.
-constexpr Duration kLost = 5500ms;
-
 std::string finish_line(CallId call) {
   return R"({"verb":"FINISH","tag":")" + net::hex16(static_cast<std::uint64_t>(call)) +
          "\",\"opts\":{},\"rc\":" + std::to_string(core::kNormalClearing) + "}\n";
 }
 
+membership::Reach::Dialled dialled_as(net::Dial how) {
+  using Dialled = membership::Reach::Dialled;
+  return how == net::Dial::up ? Dialled::up : how == net::Dial::refused ? Dialled::refused : Dialled::failed;
+}
+
 // One connection to an office. Kept by whoever writes to it, so that its descriptor is not another's
 // meanwhile.
 struct Line {
@@ -72,16 +67,11 @@
   void listed(const OfficeEntry& office) {
     const std::lock_guard hold(lock_);
     const auto address = net::parse_address(office.address);
-    const bool restarted = office.entry.started_at > started_at_ && started_at_ != Time::min();
-    started_at_ = office.entry.started_at;
-    if (restarted) dead_ = false;
-    ready_ = office.entry.state == ServerState::ready;
-    gone_ = office.entry.state == ServerState::gone;
     // Guards against speaking to a dead process, or to one that has taken over the address.
-    if (gone_ || restarted || (address && net::to_text(*address) != net::to_text(address_))) outdated_ = true;
+    const bool another = reach_.told(office.entry);
+    if (another || (address && net::to_text(*address) != net::to_text(address_))) outdated_ = true;
     if (outdated_ && line_) line_->fd.shut();
     if (address) address_ = *address;
-    retry_at_ = {};
     loop_.wake(watch_);
   }
 
@@ -89,7 +79,7 @@
     std::shared_ptr<Line> line;
     {
       const std::lock_guard hold(lock_);
-      if (gone_) return false;
+      if (reach_.gone()) return false;
       Open& open = open_[set_up.call] = {set_up.attempt, ++tags_, set_up.give_up, false, std::move(text)};
       line = line_;
       if (line) queue(line, set_up.call, open);
@@ -118,7 +108,7 @@
     std::shared_ptr<Line> line;
     {
       const std::lock_guard hold(lock_);
-      if (gone_) return;  // with the office went its calls
+      if (reach_.gone()) return;  // with the office went its calls
       line = line_;
       if (!line || !line->outbox.push(finish_line(call))) {
         line.reset();
@@ -130,7 +120,7 @@
 
   void keep(bool calls_stand) {
     const std::lock_guard hold(lock_);
-    calls_stand_ = calls_stand;
+    reach_.keep(calls_stand);
     loop_.wake(watch_);
   }
 
@@ -143,8 +133,8 @@
       outdated_ = false;
       if (line_) ask_if_there();
       if (!line_ && dialling_) look_at_dial();
-      for (int tries = 0; !line_ && !dialling_ && wanted() && tries < 2; ++tries) dial();
-      if (gone_ && !line_ && !dialling_ && open_.empty()) return end();
+      for (int tries = 0; !line_ && !dialling_ && net::now() >= dial_at() && tries < 2; ++tries) dial();
+      if (reach_.gone() && !line_ && !dialling_ && open_.empty()) return end();
       line = line_;
     }
     if (line) pump(line);
@@ -186,8 +176,9 @@
       const std::lock_guard hold(lock_);
       const auto found = open_.find(call);
       if (on != line_.get() || found == open_.end() || found->second.attempt != attempt) return false;
-      if (ready_ && net::now() < found->second.give_up) {
-        if (!waits_) waits_ = net::now(), loop_.wake(watch_);
+      const Time at = net::now();
+      if (reach_.ready() && at < found->second.give_up) {
+        if (reach_.left(at)) loop_.wake(watch_);  // from now on it is looked at
         core_.attempt_left();
         return found->second.left = true;
       }
@@ -197,13 +188,10 @@
     return false;
   }
 
-  [[nodiscard]] bool wanted() const {
-    if (!open_.empty()) return true;
-    return !gone_ && !dead_ && (ready_ || calls_stand_ || !owed_.empty()) && net::now() >= retry_at_;
-  }
+  [[nodiscard]] Time dial_at() const { return reach_.dial_at(!open_.empty(), !owed_.empty()); }
 
   void dial() {
-    if (gone_) return failed(net::Dial::failed);  // another process may have the address now
+    if (reach_.gone()) return failed(net::Dial::failed);  // another process may have the address now
     net::Dial how = net::Dial::failed;
     dialled_ = address_;
     dialling_ = net::dial_begin(address_, how);
@@ -220,21 +208,15 @@
     loop_.unwatch(fd);
     // Told while it was dialled: the office is gone or elsewhere, and who answers here may be another.
     if (net::to_text(dialled_) != net::to_text(address_)) return loop_.wake(watch_);
-    if (how != net::Dial::up || gone_) return failed(how == net::Dial::up ? net::Dial::failed : how);
+    if (how != net::Dial::up || reach_.gone()) return failed(how == net::Dial::up ? net::Dial::failed : how);
     up(std::move(fd));
   }
 
   void failed(net::Dial how) {
     std::map<CallId, Open> lost;
     lost.swap(open_);
-    if (!gone_) core_.reached(id_, false);
-    // A refused connection after one that stood: the process has died, and its calls with it.
-    const bool died = how == net::Dial::refused && was_up_;
-    // Another process may take over the address: no dialling for nothing until this one is told as started.
-    dead_ = dead_ || died;
-    retry_at_ = net::now() + kLook;
-    if (died) {
-      was_up_ = false;
+    if (!reach_.gone()) core_.reached(id_, false);
+    if (reach_.failed(dialled_as(how), net::now())) {
       net::log_line("office " + net::office_name(id_) + " refuses connections: its calls are cut");
       core_.office_died(id_);
     }
@@ -244,10 +226,7 @@
   void up(net::Fd fd) {
     line_ = std::make_shared<Line>(std::move(fd));
     buffer_ = {};
-    heard_ = net::now();
-    waits_.reset();
-    was_up_ = true;
-    dead_ = false;
+    reach_.up(net::now());
     core_.reached(id_, true);
     for (std::string& text : owed_) line_->outbox.push(std::move(text));
     owed_.clear();
@@ -265,21 +244,20 @@
     // What has not left never ran, and goes on the next connection while its time lasts.
     for (auto at = open_.begin(); at != open_.end();) {
       const auto next = std::next(at);
-      if (at->second.left || !ready_) {
+      if (at->second.left || !reach_.ready()) {
         core_.send_failed(at->first, at->second.attempt, at->second.left ? Ending::reset : Ending::not_sent);
         open_.erase(at);
       }
       at = next;
     }
-    retry_at_ = net::now() + kAgain;
+    reach_.ended(net::now());
   }
 
   bool read() {  // false: the connection has ended, or can't be trusted
     const net::Got got = buffer_.fill_now(line_->fd);
     if (got == net::Got::closed) return false;
     if (got == net::Got::late) return true;
-    heard_ = net::now();
-    waits_.reset();
+    reach_.heard(net::now());
     if (asking_) loop_.unwatch(asking_);
     asking_.reset();
     for (;;) {
@@ -297,38 +275,27 @@
     }
   }
 
-  // When a connection without a word is to be asked for; kNever: it may stay quiet.
-  [[nodiscard]] Time ask_at() const {
-    Time at = net::kNever;
-    if (waits_) at = *waits_ + kUnheard;
-    if (calls_stand_) at = std::min(at, heard_ + kQuiet);
-    return at == net::kNever ? at : std::max(at, asked_ + kLook);
-  }
-
-  // A quiet connection stays open for ever, whether it alone is cut off or the machine has vanished. Where
-  // calls stand there or a set-up waits, a new one shows: it comes up and takes the place of the old, with
-  // the releases that the old one never brought, or the calls are over.
+  // A second connection beside one that has gone quiet: reach_ says when, and what its outcome means.
   void ask_if_there() {
     const Time at = net::now();
     net::Dial how = net::Dial::pending;
     if (asking_) {
       how = net::dial_state(asking_);
       if (how == net::Dial::pending && at >= dial_by_) how = net::Dial::failed;
-    } else if (at >= ask_at()) {
+    } else if (at >= reach_.ask_at()) {
       asking_ = net::dial_begin(address_, how);
       dial_by_ = at + dial_limit_;
     }
-    if (how == net::Dial::pending) return;
+    if (how == net::Dial::pending || line_->fd.unread())
+      return;  // unread: it is not quiet, and is read first
     net::Fd fresh = std::move(asking_);
     loop_.unwatch(fresh);
-    asked_ = at;
-    if (how == net::Dial::failed && at < heard_ + kLost) return;
+    const auto asked = reach_.asked(dialled_as(how), at);
+    if (asked == membership::Reach::Asked::wait) return;
     drop();
-    if (how == net::Dial::up) return up(std::move(fresh));
-    if (how == net::Dial::refused) return;
+    if (asked == membership::Reach::Asked::replaced) return up(std::move(fresh));
+    if (asked == membership::Reach::Asked::drop) return;
     net::log_line("office " + net::office_name(id_) + " is silent and out of reach: its calls are cut");
-    was_up_ = false;
-    dead_ = true;
     core_.reached(id_, false);
     core_.office_died(id_);
   }
@@ -343,13 +310,13 @@
     Time at = net::kNever;
     if (line_) {
       loop_.watch(watch_, line_->fd, true, line_->outbox.behind());
-      at = std::min(line_->outbox.due(), asking_ ? dial_by_ : ask_at());
+      at = std::min(line_->outbox.due(), asking_ ? dial_by_ : reach_.ask_at());
       if (asking_) loop_.watch(watch_, asking_, false, true);
     } else if (dialling_) {
       loop_.watch(watch_, dialling_, false, true);
       at = dial_by_;
-    } else if (!gone_ && !dead_ && (ready_ || calls_stand_ || !owed_.empty())) {
-      at = retry_at_;
+    } else {
+      at = dial_at();
     }
     loop_.due(watch_, at);
   }
@@ -397,27 +364,18 @@
   net::Loop::Id watch_ = 0;
   std::mutex lock_;  // guards what follows
   net::Address address_;
-  Time started_at_ = Time::min();
-  Time retry_at_{};
-  bool ready_ = false;
-  bool gone_ = false;      // for good
+  membership::Reach reach_;
   bool outdated_ = false;  // the connection is to a process that is told as gone, moved or started anew
   bool ended_ = false;
-  bool calls_stand_ = false;
-  bool was_up_ = false;
-  bool dead_ = false;          // it died, and nothing has told of a new start
-  std::optional<Time> waits_;  // since when a set-up that left has heard nothing on this connection
   std::uint64_t tags_ = 0;
   std::map<CallId, Open> open_;
   std::vector<std::string> owed_;  // releases for the next connection
   std::shared_ptr<Line> line_;
   net::Buffer buffer_;  // of the line
-  Time heard_{};
   net::Fd dialling_;
   net::Address dialled_;
   net::Fd asking_;  // a second connection, beside one that has gone quiet
   Time dial_by_{};  // for either
-  Time asked_{};
 };
 
 Offices::Offices(core::Core& core, std::vector<std::string> class_names, Duration dial_limit)
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -62,7 +62,7 @@
 
 class Connection final : public net::Peer {
  public:
-  Connection(Front& front, net::Fd fd) : net::Peer(std::move(fd)), front_(front) {}
+  Connection(Front& front, net::Fd fd) : net::Peer(std::move(fd), kSilence), front_(front) {}
   bool tell(const std::string& json, net::Outbox::Check check = {}) {
     return push(text_frame(json), 0, std::move(check));
   }
@@ -99,7 +99,6 @@
     push(close_frame(kProtocolError, "late"));  // half a frame
     hang_up();
   }
-  [[nodiscard]] Duration quiet_after() const override { return kSilence; }
   Next quiet() override {
     if (asked_) {  // no answer to the ping either: the peer is gone
       push(close_frame(kGoingAway, "silent"));
--- /dev/null
+++ b/tests/membership/reach_test.cpp
@@ -0,0 +1,108 @@
+// When an office is dialled, asked for and given up for dead, in told time at the bounds.
+#include "membership/reach.h"
+
+#include <gtest/gtest.h>
+
+namespace reeltack::membership {
+namespace {
+
+using namespace std::chrono_literals;
+using Dialled = Reach::Dialled;
+using Asked = Reach::Asked;
+
+Time at(Duration d) { return Time{1000s} + d; }
+ServerEntry entry(ServerState state = ServerState::ready, Duration started = 0s) {
+  ServerEntry out;
+  out.state = state;
+  out.started_at = Time{started};
+  return out;
+}
+Reach ready_at_start() {
+  Reach r;
+  r.told(entry());
+  return r;
+}
+Reach up_at_start(bool calls_stand) {
+  Reach r = ready_at_start();
+  r.up(at(0s));
+  r.keep(calls_stand);
+  return r;
+}
+
+TEST(Reach, AReadyOfficeIsDialledAtOnceAndADrainingOneForWhatIsLeftThere) {
+  Reach r = ready_at_start();
+  EXPECT_LE(r.dial_at(false, false), at(0s));
+  r.told(entry(ServerState::draining));
+  EXPECT_EQ(r.dial_at(false, false), Time::max());
+  EXPECT_LE(r.dial_at(false, true), at(0s));  // a release is owed
+  r.keep(true);
+  EXPECT_LE(r.dial_at(false, false), at(0s));  // calls stand
+}
+TEST(Reach, AFailureIsFollowedAfterAWhileAndBySetUpsAtOnce) {
+  Reach r = ready_at_start();
+  EXPECT_FALSE(r.failed(Dialled::refused, at(1s)));  // it never was up: no call is over
+  EXPECT_EQ(r.dial_at(false, false), at(1250ms));
+  EXPECT_LE(r.dial_at(true, false), at(1s));
+  r.told(entry());  // the list speaks of it: at once
+  EXPECT_LE(r.dial_at(false, false), at(1s));
+}
+TEST(Reach, ARefusalAfterItWasUpIsADeathOnceAndOnlyAStartAnewEndsIt) {
+  Reach r = up_at_start(true);
+  r.ended(at(1s));
+  EXPECT_EQ(r.dial_at(false, false), at(1020ms));
+  EXPECT_FALSE(r.failed(Dialled::failed, at(1020ms)));  // out of reach is not dead yet
+  EXPECT_TRUE(r.failed(Dialled::refused, at(1270ms)));
+  EXPECT_FALSE(r.failed(Dialled::refused, at(2s)));
+  EXPECT_EQ(r.dial_at(false, true), Time::max());  // another may have the address
+  EXPECT_LE(r.dial_at(true, false), at(2s));       // but a set-up finds out
+  r.told(entry());
+  EXPECT_EQ(r.dial_at(false, false), Time::max());  // told again, not as started anew
+  EXPECT_TRUE(r.told(entry(ServerState::ready, 5s)));
+  EXPECT_LE(r.dial_at(false, false), at(2s));
+}
+TEST(Reach, AQuietConnectionIsAskedForWhereCallsStand) {
+  Reach r = up_at_start(false);
+  EXPECT_EQ(r.ask_at(), Time::max());  // it may stay quiet
+  r.keep(true);
+  EXPECT_EQ(r.ask_at(), at(2500ms));
+  r.heard(at(2s));
+  EXPECT_EQ(r.ask_at(), at(4500ms));
+}
+TEST(Reach, ASetUpWithoutAWordIsAskedForSooner) {
+  Reach r = up_at_start(true);
+  EXPECT_TRUE(r.left(at(1s)));
+  EXPECT_FALSE(r.left(at(1800ms)));  // it counts from the first
+  EXPECT_EQ(r.ask_at(), at(2s));
+  r.heard(at(1900ms));
+  EXPECT_EQ(r.ask_at(), at(4400ms));
+}
+TEST(Reach, SilenceIsCalledALossOnlyAfterLongEnoughWithoutANewConnection) {
+  Reach r = up_at_start(true);
+  EXPECT_EQ(r.asked(Dialled::failed, at(3s)), Asked::wait);
+  EXPECT_EQ(r.ask_at(), at(3250ms));
+  EXPECT_EQ(r.asked(Dialled::failed, at(5500ms - 1ns)), Asked::wait);
+  EXPECT_EQ(r.asked(Dialled::failed, at(5500ms)), Asked::lost);
+  EXPECT_EQ(r.dial_at(false, false), Time::max());
+  EXPECT_FALSE(r.failed(Dialled::refused, at(6s)));  // its calls have been cut already
+}
+TEST(Reach, WhatAnswersTheAskingTakesTheOldConnectionsPlaceOrEndsIt) {
+  Reach r = up_at_start(true);
+  EXPECT_EQ(r.asked(Dialled::up, at(3s)), Asked::replaced);
+  r.ended(at(3s));
+  r.up(at(3s));
+  EXPECT_EQ(r.ask_at(), at(5500ms));
+  EXPECT_EQ(r.asked(Dialled::refused, at(6s)), Asked::drop);
+  r.ended(at(6s));
+  EXPECT_TRUE(r.failed(Dialled::refused, at(6020ms)));  // and then it is a death
+}
+TEST(Reach, GoneIsForGood) {
+  Reach r = up_at_start(true);
+  EXPECT_TRUE(r.told(entry(ServerState::gone)));
+  EXPECT_TRUE(r.gone());
+  EXPECT_EQ(r.dial_at(false, true), Time::max());
+  r.told(entry());
+  EXPECT_TRUE(r.gone());
+}
+
+}  // namespace
+}  // namespace reeltack::membership
--- a/tests/mgmt/mgmt_test.cpp
+++ b/tests/mgmt/mgmt_test.cpp
@@ -194,6 +194,21 @@
   EXPECT_THROW(mgmt::ask(deaf, "READY", net::now() + std::chrono::milliseconds(100)), mgmt::MgmtError);
 }
 
+TEST(MgmtClient, AWatchCountsWhatIsAnsweredAndWhatIsNot) {
+  int asked = 0;
+  const auto three = [&asked](Time) { return asked++ < 3; };
+  {
+    Running r;
+    const auto seen = mgmt::watch_figures({"127.0.0.1", r.port}, std::chrono::milliseconds(1), three);
+    EXPECT_EQ(seen.answered(), 3U);
+    EXPECT_TRUE(seen.failures().empty());
+  }
+  asked = 0;
+  const auto seen = mgmt::watch_figures({"127.0.0.1", free_port()}, std::chrono::milliseconds(1), three);
+  EXPECT_EQ(seen.answered(), 0U);
+  EXPECT_EQ(seen.failures().size(), 3U);
+}
+
 TEST(MgmtClient, PercentilesAreThoseOfTheSortedTimes) {
   mgmt::Watch w;
   EXPECT_EQ(w.percentile(0.5), Duration{});
--- a/tools/reeltackctl/commands.h
+++ b/tools/reeltackctl/commands.h
@@ -7,9 +7,11 @@
 #include <CLI/CLI.hpp>
 #include <atomic>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "load/player.h"
+#include "mgmt/client.h"
 
 namespace reeltack::ctl {
 
@@ -31,6 +33,12 @@
 void add_mgmt(CLI::App& app, Shared& shared);
 void add_measure(CLI::App& mgmt, Shared& shared);
 
+// What a watch of the management address has seen, for people and machines.
+double ms(Duration d);
+nlohmann::json watch_json(const mgmt::Watch& seen);
+int watch_result(
+    const mgmt::Watch& seen);  // kFailed where an answer was late or missing, said on standard error
+
 const std::atomic<bool>& stopped();  // set by SIGINT and SIGTERM
 void catch_stop();
 // A line on standard error that is written over, on a terminal; nothing in a pipe.
--- a/tools/reeltackctl/measure.cpp
+++ b/tools/reeltackctl/measure.cpp
@@ -25,20 +25,6 @@
   int stalled = 32;
 };
 
-double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
-
-// Asks on a beat until told to end; each answer's time counts from its planned instant.
-void ask_on(const net::Address& at, const std::atomic<bool>& over, mgmt::Watch& seen) {
-  for (Time planned = net::now(); !over; planned += 100ms) {
-    net::pause_until(planned);
-    try {
-      mgmt::parse_figures(mgmt::ask(at, "STATS", planned + 4s).text);
-      seen.took(net::now() - planned);
-    } catch (const mgmt::MgmtError& error) {
-      seen.failed(error.what());
-    }
-  }
-}
 // Callers that send half a line or nothing, each dialled again when it has been let go.
 void stall_on(const net::Address& at, const std::atomic<bool>& over, int n) {
   std::vector<net::Fd> held(static_cast<std::size_t>(n));
@@ -85,7 +71,7 @@
   catch_stop();
   std::atomic<bool> over{false};
   mgmt::Watch seen;
-  std::thread asks([&] { ask_on(management, over, seen); });
+  std::thread asks([&] { seen = mgmt::watch_figures(management, 100ms, [&over](Time) { return !over; }); });
   std::thread stalls([&] { stall_on(management, over, o.stalled); });
   const auto played = load::play(scenario, options);
   over = true;
@@ -94,22 +80,16 @@
   end_progress_line();
   const auto use = controller.use();
   const load::Tally& all = played->recorder.all();
-  const nlohmann::json out{{"ready_after_ms", ms(ready)},
-                           {"stats", seen.answered()},
-                           {"failed", seen.failures().size()},
-                           {"late", seen.late(1s)},
-                           {"p50_ms", ms(seen.percentile(0.5))},
-                           {"p99_ms", ms(seen.percentile(0.99))},
-                           {"max_ms", ms(seen.percentile(1.0))},
-                           {"calls", all.started},
-                           {"stood", all.results[0]},
-                           {"call_p99_ms", ms(all.latency.percentile(0.99))},
-                           {"generator_sound", played->valid()},
-                           {"cpu_s", use.cpu_seconds},
-                           {"threads", use.threads}};
+  nlohmann::json out = watch_json(seen);
+  out.update({{"ready_after_ms", ms(ready)},
+              {"calls", all.started},
+              {"stood", all.results[0]},
+              {"call_p99_ms", ms(all.latency.percentile(0.99))},
+              {"generator_sound", played->valid()},
+              {"cpu_s", use.cpu_seconds},
+              {"threads", use.threads}});
   std::cout << out.dump(shared.json ? -1 : 2) << "\n";
-  if (!seen.failures().empty()) std::cerr << "first failure: " << seen.failures().front() << "\n";
-  return controller.stop() && seen.failures().empty() && seen.late(1s) == 0 ? kGood : kFailed;
+  return controller.stop() && watch_result(seen) == kGood ? kGood : kFailed;
 }
 
 }  // namespace
--- a/tools/reeltackctl/mgmt.cpp
+++ b/tools/reeltackctl/mgmt.cpp
@@ -26,7 +26,6 @@
 Duration span(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
-double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 net::Address address(const Options& o) { return net::parse_address(o.address).value(); }  // checked
 
 int ready(const Options& o, const Shared& shared) {
@@ -67,37 +66,35 @@
 
 int watch(const Options& o, const Shared& shared) {
   const net::Address at = address(o);
-  mgmt::Watch seen;
   const Time last = net::now() + span(o.for_s);
-  // From the planned instants on, so that a slow answer does not hide those that should have followed it.
-  for (Time planned = net::now(); planned < last && !stopped(); planned += span(o.every_s)) {
-    net::pause_until(planned);
-    try {
-      const mgmt::Reply reply = mgmt::ask(at, "STATS", planned + 4 * kDue);
-      mgmt::parse_figures(reply.text);
-      seen.took(net::now() - planned);
-    } catch (const mgmt::MgmtError& error) {
-      seen.failed(error.what());
-    }
-  }
-  const json out{{"answered", seen.answered()},
-                 {"failed", seen.failures().size()},
-                 {"late", seen.late(kDue)},
-                 {"p50_ms", ms(seen.percentile(0.5))},
-                 {"p99_ms", ms(seen.percentile(0.99))},
-                 {"max_ms", ms(seen.percentile(1.0))}};
+  const mgmt::Watch seen =
+      mgmt::watch_figures(at, span(o.every_s), [last](Time planned) { return planned < last && !stopped(); });
+  const json out = watch_json(seen);
   if (shared.json)
     std::cout << out.dump() << "\n";
   else
     std::cout << "answered " << out["answered"] << ", failed " << out["failed"] << ", later than 1 s "
               << out["late"] << "; ms at 50% " << out["p50_ms"] << ", at 99% " << out["p99_ms"] << ", most "
               << out["max_ms"] << "\n";
-  if (!seen.failures().empty()) std::cerr << "first failure: " << seen.failures().front() << "\n";
-  return seen.failures().empty() && seen.late(kDue) == 0 && seen.answered() > 0 ? kGood : kFailed;
+  return watch_result(seen);
 }
 
 }  // namespace
 
+double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+json watch_json(const mgmt::Watch& seen) {
+  return {{"answered", seen.answered()},
+          {"failed", seen.failures().size()},
+          {"late", seen.late(kDue)},
+          {"p50_ms", ms(seen.percentile(0.5))},
+          {"p99_ms", ms(seen.percentile(0.99))},
+          {"max_ms", ms(seen.percentile(1.0))}};
+}
+int watch_result(const mgmt::Watch& seen) {
+  if (!seen.failures().empty()) std::cerr << "first failure: " << seen.failures().front() << "\n";
+  return seen.failures().empty() && seen.late(kDue) == 0 && seen.answered() > 0 ? kGood : kFailed;
+}
+
 void add_mgmt(CLI::App& app, Shared& shared) {
   auto o = std::make_shared<Options>();
   CLI::App* m = app.add_subcommand(
