Write the store's files again at each opening: a failed sync may have left them in memory

Observed with a disk model in which a failed sync drops what was not synced and no later sync writes it: of 18 syncs of six batches, nine failures led to the loss of acknowledged batches after a power loss. Two causes: - contents.cpp, load(): an opening took what it read from the page cache for written, and built on it. After a commit whose sync had failed and a kill, the next life appended its commits to log frames that the disk did not have; the file's making likewise, also within one process. A statement is now run to its end, with its result. The same store writing on after a failed sync was right before: the engine writes the same frames anew.

The shim no longer traces the half of a write that it let fail.

--- a/src/store/contents.cpp
+++ b/src/store/contents.cpp
@@ -1,6 +1,8 @@
 // What is in the file: proof at the start, and each batch as one transaction.
 #include "store/contents.h"
 
+#include "store/write_again.h"
+
 namespace reeltack::store {
 namespace {
 
@@ -104,6 +106,9 @@
 Written Contents::load(std::vector<Kept>& kept, bool& made) {
   made = false;
   kept.clear();
+  std::string unwritten;
+  if (const int rc = write_again(file, settings.vfs, unwritten); rc != SQLITE_OK)
+    return {why_of(rc), unwritten + ": cannot be written again and synced: " + sqlite3_errstr(rc)};
   Written done = set_up();
   if (!done.ok()) return done;
   std::int64_t id = 0, version = 0, pages = 0, tables = 0;
--- a/src/store/sqlite.cpp
+++ b/src/store/sqlite.cpp
@@ -52,20 +52,23 @@
   return sqlite3_exec(handle_, sql.c_str(), nullptr, nullptr, nullptr);
 }
 
-int Database::number(const std::string& sql, std::int64_t& value) {
+int Database::first_row(const std::string& sql, const std::function<void(const Statement&)>& take) {
   Statement ask;
   if (const int rc = ask.prepare(handle_, sql.c_str()); rc != SQLITE_OK) return rc;
-  const int rc = ask.step();
-  if (rc == SQLITE_ROW) value = ask.number(0);
-  return rc == SQLITE_ROW ? SQLITE_OK : rc == SQLITE_DONE ? SQLITE_NOTFOUND : rc;
+  int rc = ask.step();
+  if (rc == SQLITE_DONE) return SQLITE_NOTFOUND;
+  if (rc != SQLITE_ROW) return rc;
+  take(ask);
+  while (rc == SQLITE_ROW) rc = ask.step();
+  return rc == SQLITE_DONE ? SQLITE_OK : rc;
+}
+
+int Database::number(const std::string& sql, std::int64_t& value) {
+  return first_row(sql, [&value](const Statement& row) { value = row.number(0); });
 }
 
 int Database::text(const std::string& sql, std::string& value) {
-  Statement ask;
-  if (const int rc = ask.prepare(handle_, sql.c_str()); rc != SQLITE_OK) return rc;
-  const int rc = ask.step();
-  if (rc == SQLITE_ROW) value = ask.blob(0);
-  return rc == SQLITE_ROW ? SQLITE_OK : rc == SQLITE_DONE ? SQLITE_NOTFOUND : rc;
+  return first_row(sql, [&value](const Statement& row) { value = row.blob(0); });
 }
 
 Why why_of(int result) {
--- a/src/store/sqlite.h
+++ b/src/store/sqlite.h
@@ -6,6 +6,7 @@
 #include <sqlite3.h>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +53,8 @@
   [[nodiscard]] std::string error() const { return sqlite3_errmsg(handle_); }
 
  private:
+  // Runs the statement to its end: what it changes (a journal mode) is committed after its row.
+  int first_row(const std::string& sql, const std::function<void(const Statement&)>& take);
   sqlite3* handle_ = nullptr;
 };
 
--- a/tests/store/disk.h
+++ b/tests/store/disk.h
@@ -29,8 +29,21 @@
     for (std::size_t i = 0; i < count; ++i) carry_out(*waiting[i], waiting[i]->bytes.size());
     waiting.erase(waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(count));
   };
+  // Of what no sync has confirmed all, nothing or a part reaches the disk.
+  const auto carry_out_some = [&](const std::vector<const FileChange*>& changes) {
+    for (const FileChange* u : changes) {
+      const bool whole = kind == 1 || (kind >= 2 && draw() % 2 == 0);
+      const bool torn = kind >= 2 && !whole && u->kind == FileChange::Kind::write && draw() % 2 == 0;
+      if (whole || torn) carry_out(*u, torn ? u->bytes.size() / 2 : u->bytes.size());
+    }
+  };
   for (std::size_t i = 0; i < end; ++i) {
     const FileChange& c = trace[i];
+    if (c.kind == FileChange::Kind::failed_sync) {  // and no later sync writes the rest of it
+      carry_out_some(unsynced[c.file]);
+      unsynced[c.file].clear();
+      continue;
+    }
     if (c.kind == FileChange::Kind::sync && c.file.empty()) {  // the folder: removals up to here
       for (auto& [file, waiting] : unsynced) {
         std::size_t count = 0;
@@ -45,13 +58,7 @@
     if (c.kind != FileChange::Kind::sync && !c.synced) continue;
     carry_out_first(unsynced[c.file], unsynced[c.file].size());
   }
-  for (const auto& [file, changes] : unsynced) {
-    for (const FileChange* u : changes) {
-      const bool whole = kind == 1 || (kind >= 2 && draw() % 2 == 0);
-      const bool torn = kind >= 2 && !whole && u->kind == FileChange::Kind::write && draw() % 2 == 0;
-      if (whole || torn) carry_out(*u, torn ? u->bytes.size() / 2 : u->bytes.size());
-    }
-  }
+  for (const auto& [file, changes] : unsynced) carry_out_some(changes);
   fs::remove_all(dir);
   fs::create_directory(dir);
   for (const auto& [file, bytes] : files) spit(dir + "/" + fs::path(file).filename().string(), bytes);
--- a/tests/store/faulty_vfs.cpp
+++ b/tests/store/faulty_vfs.cpp
@@ -42,6 +42,7 @@
         {FileChange::Kind::write, *file.path, at, std::string(bytes, static_cast<std::size_t>(n)), false});
     int rc = file.real()->pMethods->xWrite(file.real(), bytes, n / 2, at);
     if (rc == SQLITE_OK) rc = file.owner->at("half", *file.path, true);
+    if (rc != SQLITE_OK) file.owner->trace.back().bytes.resize(static_cast<std::size_t>(n / 2));
     if (rc == SQLITE_OK)
       rc = file.real()->pMethods->xWrite(file.real(), bytes + n / 2, n - n / 2, at + n / 2);
     return rc;
@@ -54,10 +55,14 @@
   });
 }
 int sync(sqlite3_file* f, int flags) {
-  return step(*of(f).owner, "sync", *of(f).path, [&] {
+  bool tried = false;
+  const int rc = step(*of(f).owner, "sync", *of(f).path, [&] {
+    tried = true;
     of(f).owner->trace.push_back({FileChange::Kind::sync, *of(f).path, 0, {}, false});
     return of(f).real()->pMethods->xSync(of(f).real(), flags);
   });
+  if (!tried) of(f).owner->trace.push_back({FileChange::Kind::failed_sync, *of(f).path, 0, {}, false});
+  return rc;
 }
 int file_size(sqlite3_file* f, sqlite3_int64* n) {
   return of(f).real()->pMethods->xFileSize(of(f).real(), n);
--- a/tests/store/faulty_vfs.h
+++ b/tests/store/faulty_vfs.h
@@ -21,7 +21,8 @@
 // What was done to a file (a sync without one: to the folder), for building the disk as a power loss leaves
 // it.
 struct FileChange {
-  enum class Kind { write, sync, truncate, remove, mark } kind = Kind::mark;
+  // failed_sync: the kernel may have dropped what was not synced, and takes it for clean from then on.
+  enum class Kind { write, sync, failed_sync, truncate, remove, mark } kind = Kind::mark;
   std::string file;
   sqlite3_int64 at = 0;  // offset, new size, or the mark's number
   std::string bytes;
