--- a/src/admin/admin.cpp
+++ b/src/admin/admin.cpp
@@ -8,6 +8,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "net/system_calls.h"
+
 namespace reeltack::admin {
 namespace {
 
@@ -28,8 +30,8 @@
 
 net::Fd connect_to(const std::string& path) {
   const sockaddr_un to = address_of(path);
-  net::Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  if (!fd || ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) return {};
+  net::Fd fd(net::sys::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!fd || net::sys::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) return {};
   return fd;
 }
 
@@ -48,7 +50,7 @@
     ::unlink(path.c_str());
   }
   const sockaddr_un at = address_of(path);
-  listener_ = net::Fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  listener_ = net::Fd(net::sys::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   // Under this mask no moment passes in which another user could connect.
   const mode_t mask = ::umask(0177);
   const bool bound =
--- a/src/mgmt/server.cpp
+++ b/src/mgmt/server.cpp
@@ -1,11 +1,11 @@
 // The management address's loop: poll over the listener and its callers, nothing else.
 #include "mgmt/server.h"
 
-#include <poll.h>
-#include <sys/socket.h>
-
+#include <cerrno>
 #include <vector>
 
+#include "net/system_calls.h"
+
 namespace reeltack::mgmt {
 namespace {
 
@@ -17,7 +17,7 @@
 
 // Without waiting; a short answer always fits into a fresh socket's buffer.
 void say(const net::Fd& fd, const std::string& text) {
-  (void)::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+  (void)net::sys::send(fd.get(), text.data(), text.size());
 }
 
 }  // namespace
@@ -40,7 +40,7 @@
   while (!stopping_) {
     polled.assign(1, pollfd{listener_.get(), POLLIN, 0});
     for (const Caller& c : callers) polled.push_back({c.fd.get(), POLLIN, 0});
-    ::poll(polled.data(), polled.size(), kLook);
+    net::sys::poll(polled.data(), polled.size(), kLook);
     const Time now = net::now();
     // Callers first, so that a place freed now is free for the listener below.
     for (std::size_t i = callers.size(); i-- > 0;) {
@@ -48,7 +48,7 @@
       bool over = false;
       if ((polled[i + 1].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
         char chunk[512];
-        const ssize_t n = ::recv(c.fd.get(), chunk, sizeof chunk, MSG_DONTWAIT);
+        const ssize_t n = net::sys::recv(c.fd.get(), chunk, sizeof chunk);
         if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
           over = true;  // gone before its line was whole
         } else if (n > 0) {
@@ -73,7 +73,7 @@
     }
     if ((polled[0].revents & POLLIN) == 0) continue;
     for (int taken = 0; taken < 16; ++taken) {  // a few a turn, so that a flood cannot starve the callers
-      net::Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+      net::Fd fd(net::sys::accept4(listener_.get(), SOCK_CLOEXEC | SOCK_NONBLOCK));
       if (!fd) break;
       if (callers.size() >= kMostCallers) {
         say(fd, "ERR busy: " + std::to_string(kMostCallers) + " callers already\n");
--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -1,11 +1,11 @@
 #include "net/buffers.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
 
+#include "net/system_calls.h"
+
 namespace reeltack::net {
 namespace {
 
@@ -33,7 +33,7 @@
   if (data_.size() - to_ < kStep) data_.resize(std::max(data_.size() * 2, kStep));
   ssize_t n = 0;
   do {
-    n = ::recv(from.get(), data_.data() + to_, data_.size() - to_, MSG_DONTWAIT);
+    n = sys::recv(from.get(), data_.data() + to_, data_.size() - to_);
   } while (n < 0 && errno == EINTR);
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return Got::late;
   if (n <= 0) return Got::closed;
@@ -68,8 +68,7 @@
   std::size_t written = 0;
   bool sound = true;
   while (written < leaving_.size()) {
-    const ssize_t n =
-        ::send(to.get(), leaving_.data() + written, leaving_.size() - written, MSG_NOSIGNAL | MSG_DONTWAIT);
+    const ssize_t n = sys::send(to.get(), leaving_.data() + written, leaving_.size() - written);
     if (n < 0 && errno == EINTR) continue;
     sound = n > 0 || errno == EAGAIN || errno == EWOULDBLOCK;
     if (n <= 0) break;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,13 +1,11 @@
 #include "net/loop.h"
 
-#include <sys/epoll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <stdexcept>
 
+#include "net/system_calls.h"
+
 namespace reeltack::net {
 namespace {
 
@@ -18,7 +16,7 @@
 
 }  // namespace
 
-Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), bell_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+Loop::Loop() : epoll_(sys::epoll_create1(EPOLL_CLOEXEC)), bell_(sys::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
   if (!epoll_ || !bell_ || !watch(kBell, bell_, true, false))
     throw std::runtime_error("no descriptor for a loop");
 }
@@ -64,7 +62,7 @@
   if (!ring) return;
   count(counts_.rings);
   const std::uint64_t one = 1;
-  static_cast<void>(!::write(bell_.get(), &one, sizeof one));
+  static_cast<void>(!sys::write(bell_.get(), &one, sizeof one));
 }
 
 void Loop::remove(Id id) {
@@ -86,7 +84,7 @@
   if (interest.events == event.events && interest.id == id) return true;
   count(counts_.controls);
   const int how = interest.events == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  if (::epoll_ctl(epoll_.get(), how, fd.get(), &event) != 0) return false;
+  if (sys::epoll_ctl(epoll_.get(), how, fd.get(), &event) != 0) return false;
   interest = {id, event.events};
   return true;
 }
@@ -96,7 +94,7 @@
   interests_[place] = {};
   epoll_event event{};
   count(counts_.controls);
-  ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd.get(), &event);
+  sys::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd.get(), &event);
 }
 
 Time Loop::due(Id id, Time at) {
@@ -152,7 +150,7 @@
       work = !added_.empty() || !woken_.empty();
       asleep_ = !work;
     }
-    const int n = ::epoll_wait(epoll_.get(), events, kBatch, span_of_wait(work));
+    const int n = sys::epoll_wait(epoll_.get(), events, kBatch, span_of_wait(work));
     {
       const std::lock_guard hold(lock_);
       if (stopping_) return;
@@ -173,7 +171,7 @@
         continue;
       }
       std::uint64_t rings = 0;
-      static_cast<void>(!::read(bell_.get(), &rings, sizeof rings));
+      static_cast<void>(!sys::read(bell_.get(), &rings, sizeof rings));
     }
     // Whoever has had its turn in this pass has had it after its wake.
     for (const Id id : woken) {
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -5,16 +5,15 @@
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/ioctl.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
 
+#include "net/system_calls.h"
+
 namespace reeltack::net {
 namespace {
 
@@ -27,7 +26,7 @@
       wait = static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000));
     }
     pollfd p{fd, what, 0};
-    const int n = ::poll(&p, 1, wait);
+    const int n = sys::poll(&p, 1, wait);
     if (n > 0) return true;
     if (n < 0 && errno != EINTR) return true;  // the call that follows shows the error
     if (n == 0 && now() >= deadline) return false;
@@ -44,7 +43,7 @@
 
 void no_delay(int fd) {
   const int on = 1;
-  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  sys::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
 }  // namespace
@@ -57,18 +56,18 @@
   return *this;
 }
 void Fd::reset() {
-  if (fd_ >= 0) ::close(fd_);
+  if (fd_ >= 0) sys::close(fd_);
   fd_ = -1;
 }
 void Fd::shut() const {
-  if (fd_ >= 0) ::shutdown(fd_, SHUT_RDWR);
+  if (fd_ >= 0) sys::shutdown(fd_, SHUT_RDWR);
 }
 
 void Fd::shut_read() const {
-  if (fd_ >= 0) ::shutdown(fd_, SHUT_RD);
+  if (fd_ >= 0) sys::shutdown(fd_, SHUT_RD);
 }
 void Fd::shut_write() const {
-  if (fd_ >= 0) ::shutdown(fd_, SHUT_WR);
+  if (fd_ >= 0) sys::shutdown(fd_, SHUT_WR);
 }
 bool Fd::unread() const {
   int waiting = 0;
@@ -77,16 +76,16 @@
 
 bool Fd::far_end_closed() const {
   pollfd p{fd_, POLLRDHUP, 0};
-  return fd_ < 0 || (::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+  return fd_ < 0 || (sys::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
 }
 
 Fd dial_begin(const Address& to, Dial& how) {
   how = Dial::failed;
   const auto target = resolve(to);
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  Fd fd(sys::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!fd || !target) return {};
   no_delay(fd.get());
-  if (::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) == 0) {
+  if (sys::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) == 0) {
     how = Dial::up;
   } else if (errno == EINPROGRESS) {
     how = Dial::pending;
@@ -99,7 +98,7 @@
   if (!wait_for(fd.get(), POLLOUT, Time{})) return Dial::pending;
   int error = 0;
   socklen_t size = sizeof error;
-  ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  sys::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
   if (error == ECONNREFUSED) return Dial::refused;
   return error == 0 ? Dial::up : Dial::failed;
 }
@@ -115,16 +114,16 @@
 
 Fd listen_on(const Address& at) {
   const auto target = resolve(at);
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  Fd fd(sys::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   const int on = 1;
-  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd) sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   // A process that replaces this one listens beside it on the same port until this one has ended.
-  if (fd) ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  if (fd) sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
   if (!fd || !target || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0 ||
       ::listen(fd.get(), 512) != 0)
     throw std::runtime_error("cannot listen on " + to_text(at) + ": " + std::strerror(errno));
   // What an earlier handover attached stays with the port, and would have this listener passed over.
-  ::setsockopt(fd.get(), SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, &on, sizeof on);
+  sys::setsockopt(fd.get(), SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, &on, sizeof on);
   return fd;
 }
 
@@ -133,12 +132,12 @@
   // that is asked to end has number 0. Where there is no number 1, the kernel chooses as without a program.
   sock_filter next[] = {{BPF_RET | BPF_K, 0, 0, 1}};
   const sock_fprog program{1, next};
-  ::setsockopt(listener.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
+  sys::setsockopt(listener.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
 }
 
 Fd accept_one(const Fd& listener, Time deadline) {
   if (!wait_for(listener.get(), POLLIN, deadline)) return Fd{};
-  Fd fd(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+  Fd fd(sys::accept4(listener.get(), SOCK_CLOEXEC));
   if (fd) no_delay(fd.get());
   return fd;
 }
@@ -146,13 +145,13 @@
 void pause_until(Time at) {
   while (now() < at) {
     const auto left = std::chrono::ceil<std::chrono::milliseconds>(at - now()).count();
-    ::poll(nullptr, 0, static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000)));
+    sys::poll(nullptr, 0, static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000)));
   }
 }
 
 bool write_all(const Fd& to, std::string_view bytes, Time by) {
   while (!bytes.empty()) {
-    const ssize_t n = ::send(to.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    const ssize_t n = sys::send(to.get(), bytes.data(), bytes.size());
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && wait_for(to.get(), POLLOUT, by)) continue;
     if (n <= 0) return false;
@@ -167,7 +166,7 @@
   constexpr std::size_t kStep = std::size_t{256} * 1024;
   for (std::size_t dropped = 0; dropped < most && wait_for(from.get(), POLLIN, by);) {
     // TCP drops the bytes itself where it is told to truncate: no memory, and no copy.
-    const ssize_t n = ::recv(from.get(), nullptr, kStep, MSG_TRUNC | MSG_DONTWAIT);
+    const ssize_t n = sys::recv(from.get(), nullptr, kStep, MSG_TRUNC);
     if (n == 0 || (n < 0 && errno != EINTR && errno != EAGAIN)) return;
     dropped += static_cast<std::size_t>(std::max<ssize_t>(n, 0));
   }
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -1,10 +1,10 @@
 #include "net/peer.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <cerrno>
 
+#include "net/system_calls.h"
+
 namespace reeltack::net {
 namespace {
 
@@ -105,7 +105,7 @@
   constexpr std::size_t kStep = std::size_t{256} * 1024;
   for (;;) {
     // TCP drops the bytes itself where it is told to truncate: no memory, and no copy.
-    const ssize_t n = ::recv(fd_.get(), nullptr, kStep, MSG_TRUNC | MSG_DONTWAIT);
+    const ssize_t n = sys::recv(fd_.get(), nullptr, kStep, MSG_TRUNC);
     if (n < 0 && errno == EINTR) continue;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
     if (n <= 0) return end();
--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -1,14 +1,13 @@
 #include "trunk/trunk.h"
 
 #include <fcntl.h>
-#include <poll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 
 #include "base/json.h"
+#include "net/system_calls.h"
 
 namespace reeltack::trunk {
 namespace {
@@ -86,11 +85,11 @@
 void Trunk::log(const std::string& text) const { base::log_line("trunk " + settings_.name + ": " + text); }
 void Trunk::wake() {
   const char one = 1;
-  if (wake_write_) static_cast<void>(!::write(wake_write_.get(), &one, 1));
+  if (wake_write_) static_cast<void>(!net::sys::write(wake_write_.get(), &one, 1));
 }
 void Trunk::drain_wakes() {
   char bytes[64];
-  while (::read(wake_read_.get(), bytes, sizeof bytes) > 0) continue;
+  while (net::sys::read(wake_read_.get(), bytes, sizeof bytes) > 0) continue;
 }
 Time Trunk::tick() { return last_ = std::max(last_, base::now()); }
 
@@ -308,7 +307,8 @@
     }
     report();
     pollfd p{wake_read_.get(), POLLIN, 0};
-    ::poll(&p, 1, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(kTurn / 4).count()));
+    net::sys::poll(
+        &p, 1, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(kTurn / 4).count()));
     drain_wakes();
   } while (!stopping_ && base::now() < until);
 }
@@ -427,8 +427,7 @@
     if (now >= heard + kSilence) why = "it is silent";
     if (!why.empty()) break;
     if (!writing.empty()) {
-      const ssize_t n =
-          ::send(fd.get(), writing.data() + written, writing.size() - written, MSG_NOSIGNAL | MSG_DONTWAIT);
+      const ssize_t n = net::sys::send(fd.get(), writing.data() + written, writing.size() - written);
       if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
         why = "it is gone";
         break;
@@ -446,7 +445,7 @@
     pollfd waits[2] = {{fd.get(), static_cast<short>(POLLIN | (writing.empty() ? 0 : POLLOUT)), 0},
                        {wake_read_.get(), POLLIN, 0}};
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(due - base::now()).count();
-    ::poll(waits, 2, static_cast<int>(std::clamp<std::int64_t>(wait, 0, 100)));
+    net::sys::poll(waits, 2, static_cast<int>(std::clamp<std::int64_t>(wait, 0, 100)));
     if ((waits[1].revents & POLLIN) != 0) drain_wakes();
     if ((waits[0].revents & (POLLIN | POLLHUP | POLLERR)) == 0) continue;
     if (buffer.fill(fd, base::kNever) != net::Got::data) {
