Measure every span on the monotonic clock; give Unix time a type of its own

Observed: base::now() read system_clock (src/base/base.cpp:26), and the core's timers (src/core/take_in.cpp:125) and discovery's retry (src/platform/bulletin.cpp:96) waited on it. After a step back of the wall clock the core's time stands still; after a step forward all deadlines pass at once. Starts of endpoints were used as Unix times both to tell processes apart and as the time from which slow start counts, so that with the first mended the second would have compared two clocks. Change: base::now() is the steady clock, counted from a year before the boot (Time{} stays "long ago" on a machine just booted), and all waits follow it. clocks::WallTime is a type of its own, read in src/base/wall_clock.cpp alone: log lines, records on disk, incarnations. ServerEntry::start (StartId, Unix ms) names a process for Reach, Roster, the list and the fleet; started_at is derived once for each endpoint and start by clocks::StartTimes, which errs towards a young process (rules: docs/design/time.md). The fleet's threads and the relay use base::now() too, so that there is one epoch. src/policy and the adapter are unchanged. Ruled out: absolute deadlines on a wire (none); Unix times between controllers (ages and spans alone). Tests that took a start as a Time compare it as a StartId, as strictly; parsers_test now also holds that no Time is made of it. Not run yet: fleet processes, trunk, load, sanitizers.

--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "base/wall_clock.h"
 #include "store/keeper.h"
 
 namespace {
@@ -58,7 +59,7 @@
 }
 
 void write(store::Store& store, int i, std::size_t size) {
-  if (const auto done = store.write({{key(i % 32), value(size, i)}}, base::now()); !done.ok()) {
+  if (const auto done = store.write({{key(i % 32), value(size, i)}}, base::wall_now()); !done.ok()) {
     std::fprintf(stderr, "store_bench: %s\n", done.text.c_str());
     std::exit(1);
   }
--- a/include/reeltack/events.h
+++ b/include/reeltack/events.h
@@ -12,6 +12,10 @@
 
 namespace reeltack {
 
+// Names a server's process by its start: Unix time in milliseconds, 0 where it was not told. Two starts of a
+// server are told apart by it; it is no Time. The Controller does not use it.
+enum class StartId : std::uint64_t {};
+
 enum class ServerState { gone, ready, draining };
 
 struct ServerEntry {
@@ -20,6 +24,7 @@
   double capacity = 1.0;    // to compare with others; no unit
   ServerState state = ServerState::ready;
   Time started_at{};  // clock's epoch: long ago
+  StartId start{};
 };
 
 // The servers that the gateway is told of. A complete list replaces all; otherwise only the entries change.
--- a/include/reeltack/settings.h
+++ b/include/reeltack/settings.h
@@ -12,7 +12,8 @@
 
 using Duration = std::chrono::nanoseconds;
 
-// The gateway's clock: nanoseconds from a start of no meaning. It is told, never read.
+// The gateway's clock, which is steady: nanoseconds from a start of no meaning, that no step of the machine's
+// wall clock moves. It is told, never read.
 struct GatewayClock {
   using duration = Duration;
   using rep = duration::rep;
--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "base/json.h"
+#include "base/wall_clock.h"
 
 namespace reeltack::base {
 namespace {
@@ -21,10 +22,15 @@
 constexpr std::size_t kStack = std::size_t{128} * 1024;
 #endif
 
+constexpr Duration kBeforeBoot = std::chrono::hours(24 * 365);
+
 }  // namespace
 
-Time now() {
-  return Time{std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())};
+Time now() { return Time{std::chrono::steady_clock::now().time_since_epoch() + kBeforeBoot}; }
+std::chrono::steady_clock::time_point to_steady(Time at) {
+  using Steady = std::chrono::steady_clock::time_point;
+  if (at < Time::min() + kBeforeBoot) return Steady::min();
+  return Steady{at.time_since_epoch() - kBeforeBoot};
 }
 
 Thread::Thread(std::function<void()> body) {
@@ -114,7 +120,7 @@
   }
 }
 void log_line(const std::string& text) {
-  const std::string line = std::to_string(now().time_since_epoch().count() / 1'000'000) + " " + text + "\n";
+  const std::string line = std::to_string(clocks::unix_ms(wall_now())) + " " + text + "\n";
   static_cast<void>(!::write(2, line.data(), line.size()));
 }
 
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,11 +1,12 @@
 // What every room may use and no socket is: the clock, threads with small stacks, names and numbers as text.
 //
-// Owns: the only reading of the Unix clock, threads (RAII), and the spelling of ids, addresses and figures.
-// Must never: open a descriptor other than the log's, know a message, or decide anything.
+// Owns: the only reading of the steady clock for a Time, threads (RAII), and the spelling of ids, addresses
+// and figures. Must never: open a descriptor other than the log's, know a message, or decide anything.
 #pragma once
 
 #include <pthread.h>
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -16,7 +17,12 @@
 
 namespace reeltack::base {
 
-Time now();  // the Unix clock
+// The machine's monotonic clock, counted from a year before its boot: what began before the boot has a
+// positive Time too, and Time{} is long ago. No step of the wall clock moves it; it is the same for all
+// processes of the machine, and means nothing on another or after a boot.
+Time now();
+// The same moment for what waits on std::chrono's clock; times out of its range become the nearest in it.
+std::chrono::steady_clock::time_point to_steady(Time at);
 inline constexpr Time kNever = Time::max();
 
 // A thread with a small stack, joined at the end of its life.
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -63,7 +63,7 @@
   out.entry.place = static_cast<std::uint32_t>(at.number("group", 0, 65535, 0.0));
   out.entry.capacity = at.number("weight", 0, 1.0e9, 1.0);
   const double since = at.number("since_ms", 0, 9.0e12, 0.0);
-  out.entry.started_at = Time{std::chrono::milliseconds(static_cast<std::int64_t>(since))};
+  out.entry.start = StartId{static_cast<std::uint64_t>(since)};
   return out;
 }
 
--- a/src/core/office_list.cpp
+++ b/src/core/office_list.cpp
@@ -6,6 +6,8 @@
 
 void OfficeList::told(Source source, bool complete, std::vector<OfficeEntry> offices) {
   const std::lock_guard hold(lock_);  // over the hand-on too: changes must not overtake each other
+  using From = clocks::StartTimes::From;
+  fill_started(source == Source::platform ? From::discovery : From::endpoint, offices);
   auto& named = named_[source];
   const bool begun_anew =
       source == Source::platform && !unnamed_.empty();  // the whole is there once it caught up
@@ -42,6 +44,18 @@
   core_.told(false, std::move(offices));
 }
 
+void OfficeList::fill_started(clocks::StartTimes::From from, std::vector<OfficeEntry>& offices) {
+  std::vector<ServerEntry*> entries;
+  entries.reserve(offices.size());
+  for (OfficeEntry& o : offices) entries.push_back(&o.entry);
+  start_times_.fill(from, read_clocks_(), entries);
+}
+
+void OfficeList::followed() {
+  const std::lock_guard hold(lock_);
+  start_times_.followed(read_clocks_().steady);
+}
+
 void OfficeList::numbered(std::uint64_t number) {
   const std::lock_guard hold(lock_);
   if (governor_ != nullptr) governor_->numbered(number);
@@ -79,9 +93,10 @@
 
 void OfficeList::settled(std::vector<OfficeEntry> offices) {
   const std::lock_guard hold(lock_);
+  fill_started(clocks::StartTimes::From::controllers, offices);
   for (OfficeEntry& o : offices) {
     const auto ended = ended_.find(o.entry.server);
-    if (ended == ended_.end() || ended->second.entry.started_at < o.entry.started_at) continue;
+    if (ended == ended_.end() || ended->second.entry.start < o.entry.start) continue;
     const bool gone = o.entry.state == ServerState::gone || ended->second.entry.state == ServerState::gone;
     o.entry.state = gone ? ServerState::gone : ServerState::draining;
   }
--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -1,14 +1,17 @@
 // The one list of offices, whoever tells of them: bulletin, zone, or centrales that register.
 //
 // Owns: which source named which office, so that a complete list from one does not remove another's; and
-//   which side speaks to it.
+//   which side speaks to it. Since when each endpoint's process runs (`started_at`), from the start told.
 // Must never: name an office that no source named.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <mutex>
 #include <set>
 
+#include "base/wall_clock.h"
+#include "clocks/start_times.h"
 #include "core/core.h"
 
 namespace reeltack::core {
@@ -33,7 +36,10 @@
 
 class OfficeList {
  public:
-  explicit OfficeList(Core& core) : core_(core) {}
+  using ReadClocks = std::function<clocks::Reading()>;
+  // Made as the program starts: the wall clock of that moment is one of those that ages are taken by.
+  explicit OfficeList(Core& core, ReadClocks read_clocks = base::read_clocks)
+      : core_(core), read_clocks_(std::move(read_clocks)), start_times_(read_clocks_()) {}
   // From then on what the platform names as draining or gone still passes at once, what it names as ready
   // only by settled(). Before the first told().
   void govern(Governor& governor) { governor_ = &governor; }
@@ -50,14 +56,19 @@
   [[nodiscard]] bool governed() const { return governor_ != nullptr; }
   // Whether the platform's list is followed now: then all that it has named holds at this moment.
   void live(bool followed);
+  // The platform's source has told all that it has, up to this moment.
+  void followed();
   void told(Source source, bool complete, std::vector<OfficeEntry> offices);
   [[nodiscard]] bool named_elsewhere(Source source, ServerId office);
 
  private:
   void follow(bool followed);
+  void fill_started(clocks::StartTimes::From from, std::vector<OfficeEntry>& offices);
 
   Core& core_;
-  std::mutex lock_;
+  const ReadClocks read_clocks_;
+  std::mutex lock_;  // guards what follows
+  clocks::StartTimes start_times_;
   Governor* governor_ = nullptr;
   bool live_ = false;
   std::map<Source, std::map<ServerId, OfficeEntry>> named_;
--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -122,16 +122,13 @@
       if (timers_.empty()) {
         filled_.wait(hold, filled);
       } else {
-        const auto at = std::chrono::time_point<std::chrono::system_clock, Duration>(
-            timers_.begin()->first.time_since_epoch());
-        filled_.wait_until(hold, at, filled);
+        filled_.wait_until(hold, base::to_steady(timers_.begin()->first), filled);
       }
       asleep_ = false;
       if (stopping_) return;
       batch.swap(inbox_);
     }
-    // A clock set back must not reach the module, whose time never does.
-    now_ = std::max(now_, base::now());
+    now_ = base::now();
     for (Task& task : batch) task();
     batch.clear();
     take_timers();
--- a/src/fleet/link/link.cpp
+++ b/src/fleet/link/link.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration kBetweenTicks = std::chrono::milliseconds(1);
 
-Time now() { return Time(Clock::now().time_since_epoch()); }
+using base::now;
 template <class... Case>
 struct Each : Case... {
   using Case::operator()...;
@@ -167,7 +167,7 @@
     Time earliest = Time::min();
     while (!leaving_) {
       armed_ = std::max(driver_.next(), earliest);
-      timer_.expires_at(Clock::time_point(armed_.time_since_epoch()));
+      timer_.expires_at(base::to_steady(armed_));
       asio::error_code error;
       co_await timer_.async_wait(with(error));
       if (leaving_) co_return;
--- a/src/fleet/link/link.h
+++ b/src/fleet/link/link.h
@@ -6,7 +6,7 @@
 // Owns: the sockets, the thread, the order of events, and every bound on what a peer may take of memory or
 // time. Must never: decide anything, be waited for by the core, or read the wall clock.
 //
-// Time: the steady clock, as reeltack::Time since that clock's epoch; not the Unix clock of the core.
+// Time: the steady clock, base::now(), as in the core.
 // A frozen process (SIGSTOP) that goes on: its first tick comes late and is told the true time. Datagrams
 // that came meanwhile and still lie in the socket are read before that tick, so that answers that did come do
 // not count as missing; connections whose time has passed are closed.
--- a/src/fleet/service/keeping.cpp
+++ b/src/fleet/service/keeping.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/wall_clock.h"
 #include "fleet/recovery/values.h"
 
 namespace reeltack::fleet {
@@ -40,7 +41,7 @@
 
 Keeping::Keeping(const config::Controllers& settings, const std::string& owner, Say say)
     : fleet_(settings.fleet), owner_(owner), say_(std::move(say)) {
-  const Time wall = base::now() + settings.wall_offset;
+  const base::WallTime wall = base::wall_now() + settings.wall_offset;
   // Above what any earlier start has taken, where neither a store nor another member knows of it.
   incarnation_ = static_cast<Incarnation>(std::max<std::int64_t>(
       1, std::chrono::duration_cast<std::chrono::seconds>(wall.time_since_epoch()).count()));
@@ -68,7 +69,7 @@
 }
 
 // A copied disk tells of another controller: what it says of offices counts as the oldest, its numbers not.
-void Keeping::read(const std::vector<store::Kept>& records, Time wall) {
+void Keeping::read(const std::vector<store::Kept>& records, base::WallTime wall) {
   bool other_fleet = false;
   std::vector<recovery::Record> out;
   for (const store::Kept& r : records) {
--- a/src/fleet/service/keeping.h
+++ b/src/fleet/service/keeping.h
@@ -39,7 +39,7 @@
   [[nodiscard]] store::KeeperCounts counts() const;
 
  private:
-  void read(const std::vector<store::Kept>& records, Time wall);
+  void read(const std::vector<store::Kept>& records, clocks::WallTime wall);
   const std::string fleet_;
   const std::string owner_;
   const Say say_;
--- a/src/fleet/service/service.cpp
+++ b/src/fleet/service/service.cpp
@@ -18,8 +18,6 @@
 constexpr Duration kDurableAgain = 10ms;  // while the store has not said that it holds the incarnation
 constexpr auto kFlushed = 300ms;
 
-Time steady() { return Time{std::chrono::steady_clock::now().time_since_epoch()}; }
-
 members::Self self_of(const config::Controllers& settings, const std::string& name, Incarnation incarnation) {
   members::Self out;
   out.id = MemberId{config::hash_of(name)};
@@ -92,12 +90,12 @@
   void leave(Time now, TurnActions& actions) override { turn_.leave(now, actions); }
   [[nodiscard]] Time next() const override {
     const Time at = std::min({turn_.next(), sightings_.next(opens()), reading_.next()});
-    return keeping_.waits() ? std::min(at, steady() + kDurableAgain) : at;
+    return keeping_.waits() ? std::min(at, base::now() + kDurableAgain) : at;
   }
 
   // ---- from others
   void saw(ServerId office, Watcher::Saw what) {
-    if (sightings_.saw(steady(), office, what)) link_.hurry();
+    if (sightings_.saw(base::now(), office, what)) link_.hurry();
   }
   void listed(bool live, bool complete, const std::vector<core::OfficeEntry>& offices) {
     recovery::ListHeard heard;
--- a/src/fleet/service/sightings.cpp
+++ b/src/fleet/service/sightings.cpp
@@ -28,9 +28,7 @@
 recovery::Office office_of(const core::OfficeEntry& entry) {
   recovery::Office out;
   out.id = entry.entry.server;
-  out.start = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(entry.entry.started_at.time_since_epoch())
-          .count());
+  out.start = static_cast<std::uint64_t>(entry.entry.start);
   if (const auto at = base::parse_address(entry.address)) out.at = config::endpoint_of(*at);
   out.place = entry.entry.place;
   out.capacity = entry.entry.capacity;
@@ -43,7 +41,7 @@
   out.entry.place = office.place;
   out.entry.capacity = office.capacity;
   out.entry.state = state;
-  out.entry.started_at = Time{std::chrono::milliseconds(office.start)};
+  out.entry.start = StartId{office.start};
   const std::uint32_t a = office.at.address;
   out.address = std::to_string(a >> 24U) + "." + std::to_string(a >> 16U & 255U) + "." +
                 std::to_string(a >> 8U & 255U) + "." + std::to_string(a & 255U) + ":" +
--- a/src/fleet/service/terms.cpp
+++ b/src/fleet/service/terms.cpp
@@ -17,7 +17,7 @@
 }
 bool same(const core::OfficeEntry& a, const core::OfficeEntry& b) {
   return a.address == b.address && a.entry.state == b.entry.state && a.entry.place == b.entry.place &&
-         a.entry.capacity == b.entry.capacity && a.entry.started_at == b.entry.started_at;
+         a.entry.capacity == b.entry.capacity && a.entry.start == b.entry.start;
 }
 bool same(const TermsTold& a, const TermsTold& b) {
   return a.closed == b.closed &&
--- a/src/load/player.cpp
+++ b/src/load/player.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "base/asio.h"
+#include "base/wall_clock.h"
 #include "load/connection.h"
 #include "load/own_use.h"
 #include "load/trace.h"
@@ -30,7 +31,7 @@
         timer_(io_),
         turn_(io_) {
     const Scenario& s = run_->scenario;
-    std::uint64_t salt = hash(std::to_string(std::chrono::system_clock::now().time_since_epoch().count()));
+    std::uint64_t salt = hash(std::to_string(base::wall_now().time_since_epoch().count()));
     for (const Target& t : options.targets) run_->targets.push_back(load::to_text(t));
     const std::size_t n = s.connections * options.targets.size();
     for (std::size_t i = 0; i < n; ++i)
@@ -53,8 +54,7 @@
     while (!all_up() && Steady::now() < limit) io_.run_one_for(10ms);
     if (std::none_of(connections_.begin(), connections_.end(), [](auto& c) { return c->up(); }))
       throw std::runtime_error("no target could be reached: " + run_->targets.front());
-    run_->started_unix_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(base::now().time_since_epoch()).count();
+    run_->started_unix_ms = clocks::unix_ms(base::wall_now());
     next_ = schedule_->next();
     const double before = own_use().cpu_seconds;
     start_ = Steady::now() + 20ms;
--- a/src/load/player.h
+++ b/src/load/player.h
@@ -40,7 +40,7 @@
   std::uint64_t left_standing = 0;  // calls released at the end of the run
   std::uint64_t crossed = 0;        // answers that met a giving up
   std::size_t connections = 0;
-  std::vector<TryRecord> tries;  // empty unless they were to be kept; times of the Unix clock
+  std::vector<TryRecord> tries;  // empty unless they were to be kept; times of base::now()
   double cpu_seconds = 0.0;      // of this process
   double peak_mb = 0.0;
   // Lateness beyond the scenario's bound: what was measured is the generator.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include <memory>
 
 #include "admin/admin.h"
+#include "base/wall_clock.h"
 #include "config/config.h"
 #include "config/controllers.h"
 #include "config/trunks.h"
@@ -131,7 +132,7 @@
   trunk::Trunks trunks;
   if (!fronts.trunks_file.empty()) {
     // Another one with each start, so that the far end knows one that came back with nothing.
-    const auto incarnation = static_cast<std::uint64_t>(net::now().time_since_epoch().count());
+    const auto incarnation = static_cast<std::uint64_t>(base::wall_now().time_since_epoch().count());
     for (trunk::TrunkSettings& t : config::read_trunks(fronts.trunks_file)) {
       trunks.push_back(
           std::make_unique<trunk::Trunk>(core, list, std::move(t), node.class_names, incarnation));
--- a/src/membership/reach.cpp
+++ b/src/membership/reach.cpp
@@ -5,8 +5,8 @@
 namespace reeltack::membership {
 
 bool Reach::told(const ServerEntry& entry) {
-  const bool restarted = entry.started_at > started_at_ && started_at_ != Time::min();
-  started_at_ = entry.started_at;
+  const bool restarted = start_ && entry.start > *start_;
+  start_ = entry.start;
   if (restarted) dead_ = false;
   ready_ = entry.state == ServerState::ready;
   gone_ = gone_ || entry.state == ServerState::gone;
--- a/src/membership/reach.h
+++ b/src/membership/reach.h
@@ -51,7 +51,7 @@
 
  private:
   ReachSettings settings_;
-  Time started_at_ = Time::min();
+  std::optional<StartId> start_;
   Time retry_at_{};
   Time heard_{};
   Time asked_{};
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -31,7 +31,7 @@
       continue;
     }
     Member& member = known->second;
-    const bool restarted = e.started_at > member.entry.started_at;
+    const bool restarted = e.start > member.entry.start;
     if (restarted) over.insert(e.server);
     member.entry = e;
     // What could not be reached was the process before.
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -4,7 +4,7 @@
 //   that stand there when an office goes, is left out of a whole list, or starts anew.
 // Must never: do I/O, read a clock, choose an office for a call, or keep an office that has gone.
 //
-// Threads: none; whoever owns it calls it from one. Times are those of the list (`started_at`), never read.
+// Threads: none; whoever owns it calls it from one. No clock is read; a restart shows by the `start` told.
 // Equal inputs give equal outputs, in the order of the offices' ids. A change takes O(log n) an entry, a
 // whole list O(n log n) of the offices held and told.
 #pragma once
--- a/src/mgmt/client.h
+++ b/src/mgmt/client.h
@@ -4,7 +4,7 @@
 // Must never: print, decide what is good, or wait past the deadline it was given.
 //
 // Threads: each function runs on its caller's. Errors: MgmtError, whose text says what was asked of whom and
-// what came instead. Times: absolute deadlines of the Unix clock; spans in nanoseconds.
+// what came instead. Times: absolute deadlines of the steady clock (base::now()); spans in nanoseconds.
 #pragma once
 
 #include <functional>
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -7,7 +7,7 @@
 // tables are that thread's alone: remove(), watch(), unwatch() and due() are for turns. add() and wake() may
 // be called from any thread; what they bring lies in a small queue until the next pass, and the loop's bell
 // (eventfd(2)) is rung once for each of its sleeps, never while it is awake.
-// Times are absolute, of the Unix clock (base::now()); a turn comes at its due time or up to 1 ms later.
+// Times are absolute, of the steady clock (base::now()); a turn comes at its due time or up to 1 ms later.
 #pragma once
 
 #include <atomic>
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -25,7 +25,7 @@
   out.entry.state = state == 0 ? ServerState::ready : state == 1 ? ServerState::draining : ServerState::gone;
   out.entry.place = static_cast<std::uint32_t>(net::big_endian(r, 13, 2));
   out.entry.capacity = static_cast<double>(net::big_endian(r, 15, 4)) / 1000.0;
-  out.entry.started_at = Time{std::chrono::milliseconds(net::big_endian(r, 19, 8) & 0xffffffffffffULL)};
+  out.entry.start = StartId{net::big_endian(r, 19, 8) & 0xffffffffffffULL};
   return out;
 }
 
@@ -93,8 +93,7 @@
     list_.live(false);
     std::unique_lock hold(lock_);
     fd_.reset();
-    changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain,
-                        [this] { return stopping_ || moved_; });
+    changed_.wait_for(hold, kAgain, [this] { return stopping_ || moved_; });
   }
 }
 
@@ -105,6 +104,7 @@
   if (!net::write_all(fd, greeting)) return;
   net::Buffer buffer;
   Time silent = net::now() + kSilence;
+  bool current = false;
   try {
     for (;;) {
       std::size_t used = 0;
@@ -126,6 +126,9 @@
       }
       if (frame->kind == 0) list_.caught_up();
       if (frame->number <= last_) list_.live(true);  // nothing is newer
+      // On this connection nothing is untold any more, and what comes from now on is told as it happens.
+      current = current || (frame->kind == 0 && frame->number <= last_);
+      if (current) list_.followed();
       // An event told twice must not undo what has come since.
       if (frame->kind == 0 || frame->number <= last_) continue;
       last_ = frame->number;
--- a/src/standin/between/later.h
+++ b/src/standin/between/later.h
@@ -10,6 +10,7 @@
 #include <map>
 
 #include "base/asio.h"
+#include "base/base.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::standin {
@@ -18,9 +19,7 @@
  public:
   explicit Later(boost::asio::io_context& io) : timer_(io) {}
 
-  static Time now() {
-    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
-  }
+  static Time now() { return base::now(); }
   void at(Time due, std::function<void()> what) {
     const auto placed = waiting_.emplace(due, std::move(what));
     if (placed == waiting_.begin()) arm();
@@ -29,7 +28,7 @@
  private:
   void arm() {
     if (waiting_.empty()) return;
-    timer_.expires_at(std::chrono::steady_clock::time_point(waiting_.begin()->first.time_since_epoch()));
+    timer_.expires_at(base::to_steady(waiting_.begin()->first));
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) run();
     });
--- a/src/standin/centrales.cpp
+++ b/src/standin/centrales.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "base/asio.h"
+#include "base/wall_clock.h"
 #include "standin/bulletin.h"
 #include "standin/centrale.h"
 #include "standin/sockets.h"
@@ -142,7 +143,7 @@
       return later(io_, 50ms, [this, i, id] { stand_up(i, id); });
     }
     entries_[i] = entry_of(next);
-    entries_[i].started_ms = static_cast<std::uint64_t>(base::now().time_since_epoch().count() / 1'000'000);
+    entries_[i].started_ms = static_cast<std::uint64_t>(clocks::unix_ms(base::wall_now()));
     tell(i, 0);
   }
 
--- a/src/store/contents.cpp
+++ b/src/store/contents.cpp
@@ -44,7 +44,7 @@
   if (rc == SQLITE_OK) rc = database.run(kTable);
   if (rc == SQLITE_OK) rc = first.prepare(database.handle(), "INSERT INTO record VALUES(?1, ?2)");
   if (rc == SQLITE_OK) {
-    const std::string bytes = sealed({}, Time{});
+    const std::string bytes = sealed({}, clocks::WallTime{});
     first.bind(1, kSealKey);
     first.bind(2, bytes);
     rc = first.run();
@@ -135,7 +135,7 @@
 }
 
 // The new sums are worked out beside the old ones, which stay until the disk has said yes.
-Written Contents::apply(const std::map<std::string_view, const Change*>& last, Time at) {
+Written Contents::apply(const std::map<std::string_view, const Change*>& last, clocks::WallTime at) {
   Seal next = seal;
   ++next.generation;
   int rc = begin.run();
--- a/src/store/contents.h
+++ b/src/store/contents.h
@@ -36,8 +36,8 @@
   Written make();
   Written prove(std::vector<Kept>& kept);
   // One transaction, durable where ok(); keys and sizes are checked before.
-  Written apply(const std::map<std::string_view, const Change*>& last, Time at);
-  std::string sealed(const Seal& value, Time at) const {
+  Written apply(const std::map<std::string_view, const Change*>& last, clocks::WallTime at);
+  std::string sealed(const Seal& value, clocks::WallTime at) const {
     return encode(
         Kept{std::string(kSealKey), encode(value), settings.fleet, settings.owner, settings.format, at});
   }
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "base/wall_clock.h"
+
 namespace reeltack::store {
 
 Keeper::Keeper(StoreSettings store, Opened&& opened, KeeperSettings settings)
@@ -128,7 +130,7 @@
   if (!batch.empty()) {
     changes.reserve(batch.size());
     for (auto& [key, value] : batch) changes.push_back({key, std::move(value)});
-    done = store_->write(changes, base::now());
+    done = store_->write(changes, base::wall_now());
     if (done.why == Why::damaged) store_.reset();
   }
   lock.lock();
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -80,7 +80,7 @@
   Kept out;
   out.key = key;
   out.format = static_cast<std::uint16_t>(number(from.take(2)));
-  out.written_at = Time{Duration{static_cast<Duration::rep>(number(from.take(8)))}};
+  out.written_at = clocks::WallTime{Duration{static_cast<Duration::rep>(number(from.take(8)))}};
   out.fleet = from.take(number(from.take(1)));
   out.owner = from.take(number(from.take(1)));
   if (!from.ok) {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -95,7 +95,7 @@
   return out;
 }
 
-Written Store::write(const std::vector<Change>& changes, Time written_at) {
+Written Store::write(const std::vector<Change>& changes, clocks::WallTime written_at) {
   Inside& in = *inside_;
   if (in.damaged) return in.fail(Why::damaged, "was found damaged; open it anew");
   std::map<std::string_view, const Change*> last;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -21,6 +21,7 @@
 #include <string_view>
 #include <vector>
 
+#include "clocks/wall_time.h"
 #include "reeltack/controller.h"
 #include "store/faults.h"
 
@@ -56,7 +57,7 @@
   std::string fleet;
   std::string owner;
   std::uint16_t format = 0;
-  Time written_at{};
+  clocks::WallTime written_at{};
 };
 
 enum class Why {
@@ -88,7 +89,7 @@
   // All changes or none, durable on return where ok(); otherwise the old or the new state is what a later
   // open() finds (the old one, unless the power goes in the same moment). Of several changes to a key the
   // last counts.
-  Written write(const std::vector<Change>& changes, Time written_at);
+  Written write(const std::vector<Change>& changes, clocks::WallTime written_at);
 
   [[nodiscard]] const std::string& file() const;
   [[nodiscard]] std::uint64_t generation() const;  // batches ever written to this file
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -324,8 +324,10 @@
     return;
   }
   core::OfficeEntry entry;
-  entry.entry = {*id, static_cast<std::uint32_t>(place), capacity, ServerState::ready,
-                 Time{std::chrono::milliseconds(static_cast<std::int64_t>(started))}};
+  entry.entry = {.server = *id,
+                 .place = static_cast<std::uint32_t>(place),
+                 .capacity = capacity,
+                 .start = StartId{static_cast<std::uint64_t>(started)}};
   entry.address = "registered";
   {
     const std::lock_guard hold(lock_);
--- a/tests/fleet/governed_list_test.cpp
+++ b/tests/fleet/governed_list_test.cpp
@@ -9,11 +9,11 @@
 
 using namespace std::chrono_literals;
 
-OfficeEntry office(std::uint32_t id, ServerState state, std::int64_t start_ms = 1000) {
+OfficeEntry office(std::uint32_t id, ServerState state, std::uint64_t start_ms = 1000) {
   OfficeEntry out;
   out.entry.server = ServerId{id};
   out.entry.state = state;
-  out.entry.started_at = Time{std::chrono::milliseconds(start_ms)};
+  out.entry.start = StartId{start_ms};
   out.address = "127.0.0.1:1000";
   return out;
 }
--- a/tests/fleet/judged.h
+++ b/tests/fleet/judged.h
@@ -3,7 +3,8 @@
 //
 // Owns: the reading of these. Must never: decide what is good enough; tests do, by what is returned here.
 //
-// A call's id is its try's, so the offices' log says whose each set-up was. Times are of the Unix clock.
+// A call's id is its try's, so the offices' log says whose each set-up was. Times are of base::now(), which
+// all processes of a machine share.
 #pragma once
 
 #include <map>
--- a/tests/fleet/power.cpp
+++ b/tests/fleet/power.cpp
@@ -164,7 +164,7 @@
 
 void Power::judge(double least_part, bool befallen) {
   // Until each that came back has been asked for an urgent call too.
-  std::this_thread::sleep_until(std::chrono::system_clock::time_point(ready.time_since_epoch()) + kAsked);
+  std::this_thread::sleep_until(base::to_steady(ready) + kAsked);
   const auto played = judge_play(least_part);
   if (befallen) judge_rules(*played);
   judge_urgent(*played);
--- a/tests/fleet/power_loss_test.cpp
+++ b/tests/fleet/power_loss_test.cpp
@@ -24,8 +24,7 @@
       if (power.rig.figure(i, "offices_trusted") > 7) return false;
     return true;
   })) << power.figures();
-  std::this_thread::sleep_until(std::chrono::system_clock::time_point(power.returned.time_since_epoch()) +
-                                20s);
+  std::this_thread::sleep_until(base::to_steady(power.returned) + 20s);
   EXPECT_TRUE(power.hear(15s)) << power.figures();
   // Five stay, one came back cold, one is new at an old address: 6 + 1 of 9 known; gone, its id and the
   // drained one are barred.
--- a/tests/membership/reach_test.cpp
+++ b/tests/membership/reach_test.cpp
@@ -11,10 +11,10 @@
 using Asked = Reach::Asked;
 
 Time at(Duration d) { return Time{1000s} + d; }
-ServerEntry entry(ServerState state = ServerState::ready, Duration started = 0s) {
+ServerEntry entry(ServerState state = ServerState::ready, std::uint64_t start = 0) {
   ServerEntry out;
   out.state = state;
-  out.started_at = Time{started};
+  out.start = StartId{start};
   return out;
 }
 Reach ready_at_start() {
@@ -57,7 +57,7 @@
   EXPECT_LE(r.dial_at(true, false), at(2s));       // but a set-up finds out
   r.told(entry());
   EXPECT_EQ(r.dial_at(false, false), Time::max());  // told again, not as started anew
-  EXPECT_TRUE(r.told(entry(ServerState::ready, 5s)));
+  EXPECT_TRUE(r.told(entry(ServerState::ready, 5000)));
   EXPECT_LE(r.dial_at(false, false), at(2s));
 }
 TEST(Reach, AQuietConnectionIsAskedForWhereCallsStand) {
--- a/tests/membership/roster_test.cpp
+++ b/tests/membership/roster_test.cpp
@@ -9,11 +9,11 @@
 namespace reeltack::membership {
 namespace {
 
-ServerEntry entry(std::uint32_t id, ServerState state = ServerState::ready, int started_s = 0) {
+ServerEntry entry(std::uint32_t id, ServerState state = ServerState::ready, std::uint64_t start = 0) {
   ServerEntry out;
   out.server = ServerId{id};
   out.state = state;
-  out.started_at = Time{std::chrono::seconds(started_s)};
+  out.start = StartId{start};
   return out;
 }
 std::vector<ServerId> tell(Roster& r, bool complete, std::vector<ServerEntry> entries) {
@@ -96,7 +96,7 @@
       for (std::uint32_t n = draw() % 6; n > 0; --n) {
         const std::uint32_t id = draw() % 8;
         if (!used.insert(id).second) continue;
-        entries.push_back(entry(id, static_cast<ServerState>(draw() % 3), static_cast<int>(draw() % 3)));
+        entries.push_back(entry(id, static_cast<ServerState>(draw() % 3), draw() % 3));
       }
       Ids over;
       for (std::uint32_t id = 0; id < 8; ++id) {
@@ -105,7 +105,7 @@
         const bool said = it != entries.end();
         const bool was = listed.contains(id);
         const bool goes = said ? it->state == ServerState::gone : complete;
-        const bool anew = said && was && !goes && it->started_at > listed.at(id).started_at;
+        const bool anew = said && was && !goes && it->start > listed.at(id).start;
         if (was && (goes || anew)) over.push_back(ServerId{id}), unreachable.erase(id);
         if (goes) listed.erase(id);
         if (said && !goes) listed[id] = *it;
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -72,7 +72,8 @@
   EXPECT_EQ(office.entry.state, ServerState::gone);
   EXPECT_EQ(office.entry.place, 2U);
   EXPECT_EQ(office.entry.capacity, 4.0);
-  EXPECT_EQ(office.entry.started_at, Time{std::chrono::seconds(1)});
+  EXPECT_EQ(office.entry.start, StartId{1000});
+  EXPECT_EQ(office.entry.started_at, Time{}) << "derived by the list of endpoints alone";
 }
 
 TEST(LoadReports, AreReadByName) {
--- a/tests/platform/link_test.cpp
+++ b/tests/platform/link_test.cpp
@@ -182,7 +182,7 @@
 TEST_F(Link, ReleaseOfOursDoesNotGoToTheNextProcess) {
   net::Fd first = connect();
   link_->release(CallId{7});
-  link_->listed({{.server = kOffice, .place = 0, .started_at = Time{5s}}, net::to_text(address_)});
+  link_->listed({{.server = kOffice, .place = 0, .start = StartId{5000}}, net::to_text(address_)});
   link_->turn(true);
   net::pause_until(net::now() + 30ms);
   const net::Fd second = connect();
--- a/tests/store/crash_test.cpp
+++ b/tests/store/crash_test.cpp
@@ -21,7 +21,7 @@
     Opened o = Store::open(s);
     if (!o.store) return;
     do {
-      if (!o.store->write(batch(i), Time{Duration{i}}).ok()) return;
+      if (!o.store->write(batch(i), WallTime{Duration{i}}).ok()) return;
       acked = i;
       if (on_ack) on_ack(i);
     } while (++i <= kBatches && i != kBatches / 2);
@@ -179,7 +179,7 @@
     expect_old_or_new(s.dir, acked, where);
     Opened again = Store::open(s);
     ASSERT_TRUE(again.store) << where << ": " << again.why;
-    EXPECT_TRUE(again.store->write(batch(1), Time{}).ok()) << where;
+    EXPECT_TRUE(again.store->write(batch(1), WallTime{}).ok()) << where;
   }
   EXPECT_GT(told, total / 4);
   std::printf("failed at each of %d points, told in %d\n", total, told);
@@ -200,10 +200,10 @@
     vfs.hook = [&](const FileStep& step) {
       return step.what != "read" && step.before && ++point == i ? SQLITE_FULL : SQLITE_OK;
     };
-    const Written failed = o.store->write(batch(i), Time{});
+    const Written failed = o.store->write(batch(i), WallTime{});
     EXPECT_TRUE(failed.ok() || failed.why == Why::full) << failed.text;
     vfs.hook = {};
-    EXPECT_TRUE(o.store->write(batch(i), Time{}).ok());
+    EXPECT_TRUE(o.store->write(batch(i), WallTime{}).ok());
   }
   o.store.reset();
   EXPECT_EQ(state_of(Store::open(s)), after(kBatches));
@@ -219,8 +219,9 @@
     if (!o.store || ::setrlimit(RLIMIT_FSIZE, &limit) != 0) ::_exit(1);
     int i = 1;
     Written w;
-    while (i < 50 &&
-           (w = o.store->write({{std::string("k").append(std::to_string(i)), value(i, 9000)}}, Time{})).ok())
+    while (
+        i < 50 &&
+        (w = o.store->write({{std::string("k").append(std::to_string(i)), value(i, 9000)}}, WallTime{})).ok())
       ++i;
     ::_exit(w.why == Why::full || w.why == Why::io ? 10 + i : 2);
   }
--- a/tests/store/damage_test.cpp
+++ b/tests/store/damage_test.cpp
@@ -11,7 +11,7 @@
 void write_batches(const std::string& dir, int from, int to) {
   Opened o = Store::open(settings(dir));
   ASSERT_TRUE(o.store) << o.why;
-  for (int i = from; i <= to; ++i) ASSERT_TRUE(o.store->write(batch(i), Time{Duration{i}}).ok());
+  for (int i = from; i <= to; ++i) ASSERT_TRUE(o.store->write(batch(i), WallTime{Duration{i}}).ok());
 }
 
 // Half a page zeroed (either half), the page's old content, noise.
@@ -61,7 +61,7 @@
       changes.push_back({std::string("many-").append(std::to_string(i)), value(seed + i, 300)});
       state[changes.back().key] = *changes.back().value;
     }
-    ASSERT_TRUE(o.store->write(changes, Time{}).ok());
+    ASSERT_TRUE(o.store->write(changes, WallTime{}).ok());
   };
   write_many(100, 1, before);
   then.insert(before.begin(), before.end());
@@ -100,7 +100,7 @@
   {
     Opened o = Store::open(s);
     ASSERT_TRUE(o.store);
-    for (int i = 1; i <= 6; ++i) ASSERT_TRUE(o.store->write(batch(i), Time{}).ok());
+    for (int i = 1; i <= 6; ++i) ASSERT_TRUE(o.store->write(batch(i), WallTime{}).ok());
     copy_folder(temp / "s", temp / "whole");
   }
   for (int i = 0; i <= 6; ++i) allowed.push_back(after(i));
--- a/tests/store/folder_test.cpp
+++ b/tests/store/folder_test.cpp
@@ -40,7 +40,7 @@
   {
     Opened o = Store::open(s);
     EXPECT_EQ(o.how, How::fresh);
-    ASSERT_TRUE(o.store->write({{"a", "1"}, {"b", ""}}, Time{Duration{77}}).ok());
+    ASSERT_TRUE(o.store->write({{"a", "1"}, {"b", ""}}, WallTime{Duration{77}}).ok());
     EXPECT_EQ(o.store->generation(), 1u);
   }
   copy_folder(temp / "s", temp / "copy");
@@ -54,8 +54,8 @@
     EXPECT_EQ(o.foreign, 2u);
     EXPECT_EQ(o.kept[0].fleet + " " + o.kept[0].owner + " " + o.kept[0].value, "fleet-1 controller-1 1");
     EXPECT_EQ(o.kept[0].format, 3);
-    EXPECT_EQ(o.kept[0].written_at, Time{Duration{77}});
-    ASSERT_TRUE(o.store->write({{"a", "2"}}, Time{}).ok());
+    EXPECT_EQ(o.kept[0].written_at, WallTime{Duration{77}});
+    ASSERT_TRUE(o.store->write({{"a", "2"}}, WallTime{}).ok());
   }
   EXPECT_EQ(Store::open(s).foreign, 1u);
 }
@@ -66,12 +66,13 @@
   s.most_records = 2;
   s.most_bytes = 1 << 20;
   Opened o = Store::open(s);
-  EXPECT_EQ(o.store->write({{"", "x"}}, Time{}).why, Why::too_big);
-  EXPECT_EQ(o.store->write({{std::string(kMostKey + 1, 'k'), "x"}}, Time{}).why, Why::too_big);
-  EXPECT_EQ(o.store->write({{"k", std::string(kMostValue + 1, 'x')}}, Time{}).why, Why::too_big);
-  EXPECT_TRUE(o.store->write({{std::string(kMostKey, 'k'), value(1, kMostValue)}, {"b", "1"}}, Time{}).ok());
-  EXPECT_EQ(o.store->write({{"c", "1"}}, Time{}).why, Why::full);
-  EXPECT_TRUE(o.store->write({{"c", "1"}, {"b", std::nullopt}}, Time{}).ok());
+  EXPECT_EQ(o.store->write({{"", "x"}}, WallTime{}).why, Why::too_big);
+  EXPECT_EQ(o.store->write({{std::string(kMostKey + 1, 'k'), "x"}}, WallTime{}).why, Why::too_big);
+  EXPECT_EQ(o.store->write({{"k", std::string(kMostValue + 1, 'x')}}, WallTime{}).why, Why::too_big);
+  EXPECT_TRUE(
+      o.store->write({{std::string(kMostKey, 'k'), value(1, kMostValue)}, {"b", "1"}}, WallTime{}).ok());
+  EXPECT_EQ(o.store->write({{"c", "1"}}, WallTime{}).why, Why::full);
+  EXPECT_TRUE(o.store->write({{"c", "1"}, {"b", std::nullopt}}, WallTime{}).ok());
   o.store.reset();
   EXPECT_EQ(Store::open(s).kept.size(), 2u);
 }
--- a/tests/store/script.h
+++ b/tests/store/script.h
@@ -17,6 +17,7 @@
 
 namespace fs = std::filesystem;
 using State = std::map<std::string, std::string>;
+using clocks::WallTime;
 using How = Opened::How;
 
 class TempDir {
