Count the release guard from the release, not from the decision before it

Cause: Core::run (src/core/take_in.cpp:108) reads the clock once for a batch. A time-out or reset in the batch is given up to its endpoint (src/core/send.cpp:38), which may take time, and the module is then told of its end at the time read before (policy/outcomes.h:109, not_before = now + guard).

Change: the clock is read again before each turn of the module, when the releases have been handed over.

Test: ReleaseGuard.CountsFromTheReleaseHoweverLongItTook holds the core's thread for 400 ms in the release of a reset attempt and wants 300 ms from then to the second attempt. Seen to fail without the change (it was over 401 ms after it began, so the second attempt came at once); passed with it, 3 of 3 runs; the other six tests of platform_tests passed.

Not covered: a FINISH that queues behind a message which another thread is about to write (net/buffers.cpp:123, `busy_`) leaves when that thread goes on.

--- a/src/core/take_in.cpp
+++ b/src/core/take_in.cpp
@@ -135,7 +135,11 @@
     for (Task& task : batch) task();
     batch.clear();
     take_timers();
-    while (!events_.empty()) route();
+    while (!events_.empty()) {
+      // Read again: the module counts a release guard from here, and what was given up above is released now.
+      now_ = std::max(now_, base::now());
+      route();
+    }
   }
 }
 
--- /dev/null
+++ b/tests/core/release_guard_test.cpp
@@ -0,0 +1,90 @@
+// The release guard of the core: how long after a given-up attempt its call may be sent again.
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "core/core.h"
+
+namespace reeltack::test {
+namespace {
+
+using namespace std::chrono_literals;
+using Steady = std::chrono::steady_clock;
+
+constexpr Duration kReleaseGuard = 300ms;
+constexpr Duration kHeldUp = 400ms;  // more than the guard
+
+// Endpoints that fail the first attempt of a call. Giving it up holds the core's thread, as a busy machine
+// may.
+class SlowlyReleased final : public core::OfficeSide {
+ public:
+  explicit SlowlyReleased(core::Core& core) : core_(core) {}
+  void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*offices*/) override {}
+  void start(const core::SetUp& set_up) override {
+    if (set_up.attempt == 0) return core_.send_failed(set_up.call, set_up.attempt, Ending::reset);
+    const std::lock_guard hold(lock_);
+    sent_again_ = Steady::now();
+    changed_.notify_all();
+  }
+  void give_up(ServerId /*office*/, CallId /*call*/, std::uint32_t /*attempt*/) override {
+    std::this_thread::sleep_for(kHeldUp);
+    const std::lock_guard hold(lock_);
+    given_up_ = Steady::now();
+  }
+  void release(ServerId /*office*/, CallId /*call*/) override {}
+  void keep(ServerId /*office*/, bool /*calls_stand*/) override {}
+
+  // From the release of the first attempt to the second attempt; none: it was not made.
+  std::optional<Steady::duration> await_gap() {
+    std::unique_lock hold(lock_);
+    if (!changed_.wait_for(hold, 20s, [this] { return sent_again_ != Steady::time_point{}; }))
+      return std::nullopt;
+    return sent_again_ - given_up_;
+  }
+
+ private:
+  core::Core& core_;
+  std::mutex lock_;  // guards what follows
+  std::condition_variable changed_;
+  Steady::time_point given_up_{};
+  Steady::time_point sent_again_{};
+};
+
+class AnyCaller final : public core::CallerSide {
+ public:
+  bool stands(CallId /*call*/, const std::string& /*description*/) override { return true; }
+  void refused(CallId /*call*/, core::Why /*why*/, Duration /*later*/) override {}
+  void released(CallId /*call*/, int /*cause*/) override {}
+  void over(CallId /*call*/) override {}
+};
+
+// The guard counts from when the endpoint has been told of the release, not from when that was decided.
+TEST(ReleaseGuard, CountsFromTheReleaseHoweverLongItTook) {
+  Settings settings;
+  settings.classes.push_back({.aim = 10s, .deadline = 20s});
+  settings.release_guard = kReleaseGuard;
+  settings.attempts_cap = 5;
+  core::Core core(settings, 1);
+  SlowlyReleased endpoints(core);
+  AnyCaller caller;
+  core.start(endpoints);
+  std::vector<core::OfficeEntry> list;
+  for (const std::uint32_t id : {1U, 2U})
+    list.push_back({{.server = ServerId{id}, .place = 0, .state = ServerState::ready}, "127.0.0.1:1"});
+  core.told(true, list);
+  core::Request request;
+  request.told.call = CallId{7};
+  request.told.number = NumberCalled{7};
+  request.told.caller_leaves = base::now() + 20s;
+  request.side = &caller;
+  core.request(std::move(request));
+  const auto gap = endpoints.await_gap();
+  core.stop();
+  ASSERT_TRUE(gap) << "no second attempt";
+  EXPECT_GE(*gap, kReleaseGuard) << std::chrono::duration<double>(*gap).count() << " s";
+}
+
+}  // namespace
+}  // namespace reeltack::test
