Report a failing disk with its duration, reopen dead files, write again what was lost

Observed in src/store/keeper.cpp: - an outage gave one line at its begin and an empty one at its end: no duration, nothing while it lasted (open_again, write_all); - a store whose files stay dead (a folder mounted anew under it) was retried on the same handles for ever: only damage led to a reopening (write_all). Now two failures of input or output in a row do; - a reopening that found an earlier state (damage in the log's last batches reads so) was taken for the present one: values that were acknowledged stayed lost, and kept() went on calling them kept. Now what is not found as it was put is written again, an erased key erased again, and kept() is 0 from the damage until then; - values of an earlier life that were not put in this one were lost with a store set aside while running: remember() holds them; - a store that could not be opened at the start was written over unread: `found` shows its records before that.

Seen to fail by hand: without reopening, with the rewriting after `fresh` and `set_aside` alone, with kept() unchanged, without remember(), without reminders. Results that no VFS gives from a write (SQLITE_READONLY, SQLITE_CANTOPEN) left SQLite's cache wrong and came out as damage and a reopening; they are not in the matrix.

--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -4,9 +4,48 @@
 #include <algorithm>
 
 namespace reeltack::store {
+namespace {
+
+std::string name_of(KeeperEvent::Kind kind) {
+  switch (kind) {
+    case KeeperEvent::Kind::failed:
+      return "failing";
+    case KeeperEvent::Kind::lasting:
+      return "still_failing";
+    case KeeperEvent::Kind::written:
+      return "written_again";
+    case KeeperEvent::Kind::opened:
+      break;
+  }
+  return "opened";
+}
+
+// A text of the engine may hold a quote; a line of the log must not end there.
+std::string quoted(std::string text) {
+  std::replace(text.begin(), text.end(), '"', '\'');
+  return "\"" + text + "\"";
+}
+
+}  // namespace
+
+std::string to_text(const KeeperEvent& event) {
+  using Kind = KeeperEvent::Kind;
+  std::string out = "state=" + name_of(event.kind);
+  if (event.kind == Kind::opened) out += " how=" + std::string(name(event.how));
+  if (event.why != Why::none) out += " why=" + quoted(std::string(name(event.why)));
+  if (event.kind != Kind::failed) out += " lasted_ms=" + std::to_string(event.lasted.count());
+  out += " failures=" + std::to_string(event.failures) + " not_durable=" + std::to_string(event.waiting);
+  if (!event.aside.empty()) out += " aside=" + quoted(event.aside);
+  if (!event.text.empty()) out += " text=" + quoted(event.text);
+  return out;
+}
 
 Keeper::Keeper(StoreSettings store, Opened&& opened, KeeperSettings settings)
-    : store_settings_(std::move(store)), settings_(std::move(settings)), store_(std::move(opened.store)) {
+    : store_settings_(std::move(store)),
+      settings_(std::move(settings)),
+      store_(std::move(opened.store)),
+      looked_(store_ != nullptr),
+      outage_(settings_.first_reminder, settings_.last_reminder) {
   thread_ = base::Thread([this] { run(); });
 }
 
@@ -55,6 +94,11 @@
   return number;
 }
 
+void Keeper::remember(const std::string& key, std::string value) {
+  const std::lock_guard lock(mutex_);
+  if (!held_.contains(key)) hold(key, std::move(value));
+}
+
 // Called with the lock held. Beyond the bounds a value is not held, and the owner's next put has to do.
 void Keeper::hold(const std::string& key, const std::optional<std::string>& value) {
   if (const auto old = held_.find(key); old != held_.end()) {
@@ -62,16 +106,26 @@
     held_.erase(old);
   }
   const std::size_t more = key.size() + (value ? value->size() : 0);
-  if (!value || held_.size() >= settings_.most_keys || held_bytes_ + more > settings_.most_bytes) return;
+  if (held_.size() >= settings_.most_keys || held_bytes_ + more > settings_.most_bytes) return;
   held_bytes_ += more;
   held_.emplace(key, value);
 }
 
-// What waits is newer.
-void Keeper::all_again() {
+// What waits is newer. An opening may find less than was confirmed: damage in the last batches reads as the
+// batch before them.
+void Keeper::write_what_is_missing(const std::vector<Kept>& found) {
+  std::map<std::string_view, const Kept*> there;
+  for (const Kept& record : found) there.emplace(record.key, &record);
+  const auto is_there = [&](const Changes::value_type& held) {
+    const auto at = there.find(held.first);
+    if (!held.second || at == there.end()) return !held.second && at == there.end();
+    const Kept& record = *at->second;
+    return record.value == *held.second && record.fleet == store_settings_.fleet &&
+           record.owner == store_settings_.owner;
+  };
   const std::lock_guard lock(mutex_);
-  for (const auto& value : held_)
-    if (waiting_.insert(value).second) bytes_ += size(value);
+  for (const auto& held : held_)
+    if (!is_there(held) && waiting_.insert(held).second) bytes_ += size(held);
 }
 
 std::uint64_t Keeper::kept() const {
@@ -92,27 +146,60 @@
   return counts;
 }
 
-void Keeper::tell(const KeeperEvent& event) {
-  if (settings_.told) settings_.told(event);
+void Keeper::tell(const std::optional<KeeperEvent>& event) {
+  if (event && settings_.told) settings_.told(*event);
+}
+
+// Called with the lock held.
+KeeperEvent Keeper::event(KeeperEvent::Kind kind) const {
+  KeeperEvent out;
+  out.kind = kind;
+  out.lasted = std::chrono::duration_cast<std::chrono::milliseconds>(outage_.lasted(settings_.clock()));
+  out.failures = outage_.failures();
+  out.waiting = waiting_.size() + in_hand_;
+  return out;
+}
+
+// Called with the lock held. What is to be told of this failure, if anything.
+std::optional<KeeperEvent> Keeper::failed(Why why, const std::string& text) {
+  ++counts_.failures;
+  counts_.failing = true;
+  const base::Outage::Report report = outage_.failed(settings_.clock());
+  const bool found_damaged = why == Why::damaged && last_why_ != Why::damaged;
+  last_why_ = why;
+  if (report == base::Outage::Report::nothing && !found_damaged) return std::nullopt;
+  KeeperEvent out =
+      event(report == base::Outage::Report::begun || found_damaged ? KeeperEvent::Kind::failed
+                                                                   : KeeperEvent::Kind::lasting);
+  out.why = why;
+  out.text = text;
+  return out;
 }
 
 bool Keeper::open_again() {
   Opened opened = Store::open(store_settings_);
   store_ = std::move(opened.store);
   if (store_ == nullptr) {
-    bool first = false;
-    {
-      const std::lock_guard lock(mutex_);
-      ++counts_.failures;
-      first = !counts_.failing;
-      counts_.failing = true;
-    }
-    const Why why = opened.how == Opened::How::refused ? Why::disputed : Why::io;
-    if (first) tell({KeeperEvent::Kind::failed, why, opened.how, opened.why});
+    std::unique_lock lock(mutex_);
+    const auto news = failed(opened.how == Opened::How::refused ? Why::disputed : Why::io, opened.why);
+    lock.unlock();
+    tell(news);
     return false;
   }
-  if (opened.how != Opened::How::opened) all_again();
-  tell({KeeperEvent::Kind::opened, Why::none, opened.how, opened.why});
+  io_failures_ = 0;
+  if (!looked_ && settings_.found) settings_.found(opened.kept);
+  looked_ = true;
+  write_what_is_missing(opened.kept);
+  const bool news = opened.how != Opened::How::opened || !opening_told_;
+  opening_told_ = true;
+  if (!news) return true;
+  std::unique_lock lock(mutex_);
+  KeeperEvent event = this->event(KeeperEvent::Kind::opened);
+  lock.unlock();
+  event.how = opened.how;
+  event.text = opened.why;
+  event.aside = opened.where;
+  tell(event);
   return true;
 }
 
@@ -129,37 +216,48 @@
     changes.reserve(batch.size());
     for (auto& [key, value] : batch) changes.push_back({key, std::move(value)});
     done = store_->write(changes, base::now());
-    if (done.why == Why::damaged) store_.reset();
   }
+  io_failures_ = done.why == Why::io ? io_failures_ + 1 : 0;
+  if (done.why == Why::damaged || io_failures_ >= kReopenAfter) store_.reset();
   lock.lock();
   in_hand_ = 0;
-  bool news = false;
-  if (done.ok()) {
-    ++counts_.batches;
-    counts_.written += changes.size();
-    for (const Change& c : changes) bytes_ -= c.key.size() + (c.value ? c.value->size() : 0);
-    kept_ = number;
-    news = counts_.failing;
-    counts_.failing = false;
+  std::optional<KeeperEvent> news;
+  if (!done.ok()) {
+    settle(done, std::move(changes), number);
+    news = failed(done.why, done.text);
   } else {
-    ++counts_.failures;
-    // What came meanwhile is newer than what was in hand.
-    for (Change& c : changes) {
-      const std::size_t bytes = c.key.size() + (c.value ? c.value->size() : 0);
-      if (!waiting_.try_emplace(c.key, std::move(c.value)).second) bytes_ -= bytes;
-    }
-    news = !counts_.failing;
-    counts_.failing = true;
+    if (outage_.on()) news = event(KeeperEvent::Kind::written);
+    settle(done, std::move(changes), number);
   }
   lock.unlock();
   done_.notify_all();
-  if (news)
-    tell({done.ok() ? KeeperEvent::Kind::written : KeeperEvent::Kind::failed, done.why, Opened::How::opened,
-          done.text});
+  tell(news);
   lock.lock();
   return done.ok();
 }
 
+// Called with the lock held: what became of a batch.
+void Keeper::settle(const Written& done, std::vector<Change>&& changes, std::uint64_t number) {
+  const auto bytes_of = [](const Change& c) { return c.key.size() + (c.value ? c.value->size() : 0); };
+  if (done.ok()) {
+    ++counts_.batches;
+    counts_.written += changes.size();
+    for (const Change& c : changes) bytes_ -= bytes_of(c);
+    kept_ = number;
+    counts_.failing = false;
+    opening_told_ = false;
+    last_why_ = Why::none;
+    outage_.ended();
+    return;
+  }
+  if (done.why == Why::damaged) kept_ = 0;
+  // What came meanwhile is newer than what was in hand.
+  for (Change& c : changes) {
+    const std::size_t bytes = bytes_of(c);
+    if (!waiting_.try_emplace(c.key, std::move(c.value)).second) bytes_ -= bytes;
+  }
+}
+
 void Keeper::run() {
   std::chrono::milliseconds wait{0};
   std::unique_lock lock(mutex_);
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -26,6 +26,22 @@
   return "";
 }
 
+std::string_view name(Opened::How how) {
+  switch (how) {
+    case Opened::How::fresh:
+      return "fresh";
+    case Opened::How::opened:
+      return "opened";
+    case Opened::How::set_aside:
+      return "set_aside";
+    case Opened::How::refused:
+      return "refused";
+    case Opened::How::failed:
+      break;
+  }
+  return "failed";
+}
+
 struct Store::Inside : Contents {
   using Contents::Contents;
 };
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -114,5 +114,6 @@
   std::string why;               // for all but fresh and opened
   std::string where;             // for set_aside: the file's new name; its log's is that and "-wal"
 };
+std::string_view name(Opened::How how);
 
 }  // namespace reeltack::store
--- /dev/null
+++ b/tests/store/keeper_disk_test.cpp
@@ -0,0 +1,223 @@
+// The keeper on a disk that fails: what it reports, when it opens the store anew, and what it writes again.
+#include <atomic>
+
+#include "heard.h"
+
+namespace reeltack::store {
+namespace {
+
+using namespace std::chrono_literals;
+using Kind = KeeperEvent::Kind;
+
+TEST(KeeperDisk, AFailureIsReportedOnceThenWhileItLastsAndAtItsEndWithItsDuration) {
+  Case c;
+  std::atomic<bool> full{false};
+  std::atomic<int> seconds{1000};
+  c.keeper.clock = [&] {
+    return std::chrono::steady_clock::time_point(std::chrono::seconds(seconds.load()));
+  };
+  Opened opened = Store::open(c.store);
+  c.vfs.hook = [&](const FileStep& s) {
+    return full && s.what == "write" && s.before ? SQLITE_FULL : SQLITE_OK;
+  };
+  Keeper keeper(c.store, std::move(opened), c.keeper);
+  full = true;
+  keeper.put("a", "1");
+  keeper.put("b", "1");
+  EXPECT_EQ(c.expect(Kind::failed).why, Why::full);
+  seconds += 61;
+  const KeeperEvent lasting = c.expect(Kind::lasting);
+  EXPECT_EQ(lasting.lasted, 61s);
+  EXPECT_EQ(lasting.why, Why::full);
+  EXPECT_EQ(lasting.waiting, 2u);
+  EXPECT_GT(lasting.failures, 1u);
+  seconds += 10;
+  full = false;
+  const KeeperEvent written = c.expect(Kind::written);
+  EXPECT_EQ(written.lasted, 71s);
+  EXPECT_EQ(written.waiting, 0u);
+  ASSERT_TRUE(keeper.flush(kLong));
+  EXPECT_EQ(c.heard.count(Kind::failed), 1u);
+  EXPECT_EQ(c.heard.count(Kind::lasting), 1u);
+  EXPECT_EQ(c.heard.count(Kind::written), 1u);
+  const std::string line = to_text(lasting);
+  EXPECT_EQ(line.find("state=still_failing why=\"full\" lasted_ms=61000 failures="), 0u) << line;
+  EXPECT_NE(line.find(" not_durable=2 text=\""), std::string::npos) << line;
+}
+
+TEST(KeeperDisk, AStoreWhoseFilesStayDeadIsOpenedAnew) {
+  Case c;
+  std::atomic<bool> dead{false};
+  Opened opened = Store::open(c.store);
+  c.vfs.hook = [&](const FileStep& s) {
+    if (s.before && s.what == "open") dead = false;
+    return dead && s.before && s.what != "read" ? SQLITE_IOERR : SQLITE_OK;
+  };
+  Keeper keeper(c.store, std::move(opened), c.keeper);
+  keeper.put("a", "1");
+  ASSERT_TRUE(keeper.flush(kLong));
+  dead = true;
+  keeper.put("a", "2");
+  ASSERT_TRUE(keeper.flush(kLong)) << c.heard.text();
+  EXPECT_EQ(c.expect(Kind::failed).why, Why::io);
+  EXPECT_EQ(c.expect(Kind::opened).how, How::opened);
+  EXPECT_GE(c.expect(Kind::written).failures, kReopenAfter);
+}
+
+TEST(KeeperDisk, WhatAReopeningFindsInAnEarlierStateIsWrittenAgain) {
+  Case c;
+  const std::string dir = c.store.dir;
+  Opened opened = Store::open(c.store);
+  std::atomic<bool> spoil{false};
+  std::atomic<std::uint64_t> kept_at_opening{99};
+  const Keeper* watched = nullptr;
+  c.vfs.hook = [&](const FileStep& s) {
+    if (watched != nullptr && s.before && s.what == "open") kept_at_opening = watched->kept();
+    if (!spoil || s.what != "write" || !s.before) return SQLITE_OK;
+    spoil = false;
+    for (const char* name : {"/store.db", "/store.db-wal"}) {
+      fs::remove(dir + name);
+      fs::copy(c.temp / "earlier" + name, dir + name);
+    }
+    return SQLITE_CORRUPT;
+  };
+  {
+    Keeper keeper(c.store, std::move(opened), c.keeper);
+    keeper.put("a", "1");
+    keeper.put("gone", "1");
+    keeper.put("same", "1");
+    ASSERT_TRUE(keeper.flush(kLong));
+    copy_folder(dir, c.temp / "earlier");
+    keeper.put("a", "2");
+    keeper.erase("gone");
+    ASSERT_TRUE(keeper.flush(kLong));
+    watched = &keeper;
+    spoil = true;
+    keeper.put("b", "1");
+    ASSERT_TRUE(keeper.flush(kLong));
+    EXPECT_EQ(c.expect(Kind::opened).how, How::opened);
+    EXPECT_EQ(kept_at_opening, 0u) << "what may be lost counts as kept";
+    EXPECT_EQ(keeper.counts().written, 8u);  // 3, then 2, then b and the two that had gone back
+  }
+  c.vfs.hook = {};
+  EXPECT_EQ(state_of(Store::open(c.store)), (State{{"a", "2"}, {"b", "1"}, {"same", "1"}}));
+}
+
+TEST(KeeperDisk, AValueOfAnEarlierLifeIsWrittenAgainWhereTheStoreIsLost) {
+  Case c;
+  Opened opened = Store::open(c.store);
+  ASSERT_TRUE(opened.store->write({{"vote", "7"}, {"other", "1"}}, Time{}).ok());
+  std::atomic<bool> spoil{true};
+  c.vfs.hook = [&](const FileStep& s) {
+    if (!spoil || s.what != "write" || !s.before) return SQLITE_OK;
+    spoil = false;
+    spit(c.store.dir + "/store.db", std::string(8192, 'x'));
+    fs::remove(c.store.dir + "/store.db-wal");
+    return SQLITE_CORRUPT;
+  };
+  {
+    Keeper keeper(c.store, std::move(opened), c.keeper);
+    keeper.remember("vote", "7");
+    keeper.put("a", "1");
+    ASSERT_TRUE(keeper.flush(kLong));
+    const KeeperEvent found = c.expect(Kind::opened);
+    EXPECT_EQ(found.how, How::set_aside);
+    EXPECT_EQ(found.aside, c.store.dir + "/store.db.aside-1");
+  }
+  c.vfs.hook = {};
+  EXPECT_EQ(state_of(Store::open(c.store)), (State{{"a", "1"}, {"vote", "7"}}));
+}
+
+TEST(KeeperDisk, WhatIsFoundLateIsShownBeforeItIsWrittenOver) {
+  Case c;
+  ASSERT_TRUE(Store::open(c.store).store->write({{"a", "old"}}, Time{}).ok());
+  std::atomic<bool> fails{true};
+  c.vfs.hook = [&](const FileStep& s) { return fails && s.before ? SQLITE_CANTOPEN : SQLITE_OK; };
+  Opened opened = Store::open(c.store);
+  ASSERT_EQ(opened.how, How::failed);
+  std::vector<Kept> found;
+  c.keeper.found = [&](const std::vector<Kept>& records) { found = records; };
+  {
+    Keeper keeper(c.store, std::move(opened), c.keeper);
+    keeper.put("a", "new");
+    c.expect(Kind::failed);
+    fails = false;
+    ASSERT_TRUE(keeper.flush(kLong));
+  }
+  ASSERT_EQ(found.size(), 1u);
+  EXPECT_EQ(found.front().value, "old");
+  c.vfs.hook = {};
+  EXPECT_EQ(state_of(Store::open(c.store)), (State{{"a", "new"}}));
+}
+
+// ---- each call to the disk fails, for a while and until it is repaired
+
+constexpr int kBatches = 4;
+
+struct Failure {
+  int error = 0;  // errno
+  int calls = 0;  // in a row; 0: until the test repairs the disk
+};
+
+// What SQLite's own VFS makes of the errno of a failed call.
+int result_of(int error, const std::string& call) {
+  if (call == "write") return error == ENOSPC ? SQLITE_FULL : SQLITE_IOERR_WRITE;
+  if (call == "open") return SQLITE_CANTOPEN;
+  if (call == "sync") return SQLITE_IOERR_FSYNC;
+  if (call == "truncate") return SQLITE_IOERR_TRUNCATE;
+  if (call == "delete") return SQLITE_IOERR_DELETE;
+  return SQLITE_IOERR_READ;
+}
+
+// One life of a keeper whose `nth` call to its files fails, and what it has written; the calls met.
+int live(const Failure& failure, int nth) {
+  Case c;
+  std::atomic<int> calls{0};
+  std::atomic<bool> repaired{false};
+  c.keeper.last_retry = 1ms;
+  c.vfs.hook = [&](const FileStep& s) {
+    if (!s.before || s.what == "half") return SQLITE_OK;
+    const int call = ++calls;
+    const bool fails = nth > 0 && call >= nth && (failure.calls > 0 ? call < nth + failure.calls : !repaired);
+    return fails ? result_of(failure.error, s.what) : SQLITE_OK;
+  };
+  const std::string where = "errno " + std::to_string(failure.error) + ", call " + std::to_string(nth);
+  {
+    Opened opened = Store::open(c.store);
+    Keeper keeper(c.store, std::move(opened), c.keeper);
+    for (int i = 1; i <= kBatches; ++i) {
+      std::uint64_t last = 0;
+      for (const Change& change : batch(i))
+        last = change.value ? keeper.put(change.key, *change.value) : keeper.erase(change.key);
+      for (int waits = 0; waits < 3000 && !keeper.flush(10ms); ++waits) {
+        if (failure.calls > 0 || keeper.counts().failures < 4 || repaired) continue;
+        EXPECT_LT(keeper.kept(), last) << where << ": kept on a disk that refuses";
+        repaired = true;
+      }
+      EXPECT_GE(keeper.kept(), last) << where;
+    }
+    EXPECT_FALSE(keeper.counts().failing) << where;
+    repaired = true;
+  }
+  EXPECT_EQ(c.heard.count(Kind::failed), c.heard.count(Kind::written)) << where << "\n" << c.heard.text();
+  c.vfs.hook = {};
+  const Opened found = Store::open(c.store);
+  EXPECT_EQ(found.how, How::opened) << where << ": " << found.why;
+  EXPECT_TRUE(state_of(found) == after(kBatches)) << where;
+  return calls;
+}
+
+void fail_each_call(const Failure& failure) {
+  const int total = live({}, 0);
+  for (int nth = 1; nth <= total; ++nth) live(failure, nth);
+  std::printf("failed each of %d calls\n", total);
+}
+
+class EachCall : public testing::TestWithParam<int> {};
+TEST_P(EachCall, FailsOnce) { fail_each_call({GetParam(), 1}); }
+TEST_P(EachCall, FailsSeveralTimes) { fail_each_call({GetParam(), 5}); }
+TEST_P(EachCall, FailsUntilTheDiskIsRepaired) { fail_each_call({GetParam(), 0}); }
+INSTANTIATE_TEST_SUITE_P(KeeperDisk, EachCall, testing::Values(ENOSPC, EIO, EROFS));
+
+}  // namespace
+}  // namespace reeltack::store
--- a/tests/store/keeper_test.cpp
+++ b/tests/store/keeper_test.cpp
@@ -4,68 +4,12 @@
 #include <atomic>
 #include <thread>
 
-#include "faulty_vfs.h"
-#include "script.h"
+#include "heard.h"
 
 namespace reeltack::store {
 namespace {
 
 using namespace std::chrono_literals;
-constexpr auto kLong = 30s;
-
-// The keeper's words, to be waited for.
-class Heard {
- public:
-  void operator()(const KeeperEvent& e) {
-    const std::lock_guard lock(mutex_);
-    events_.push_back(e);
-    more_.notify_all();
-  }
-  // The first event of that kind; its kind is told by `found`.
-  KeeperEvent wait(KeeperEvent::Kind kind, bool& found) {
-    std::unique_lock lock(mutex_);
-    KeeperEvent out;
-    found = more_.wait_for(lock, kLong, [&] {
-      for (const KeeperEvent& e : events_) {
-        if (e.kind == kind) return out = e, true;
-      }
-      return false;
-    });
-    return out;
-  }
-  std::size_t count(KeeperEvent::Kind kind) {
-    const std::lock_guard lock(mutex_);
-    std::size_t n = 0;
-    for (const KeeperEvent& e : events_) n += e.kind == kind ? 1 : 0;
-    return n;
-  }
-
- private:
-  std::mutex mutex_;
-  std::condition_variable more_;
-  std::vector<KeeperEvent> events_;
-};
-
-struct Case {
-  TempDir temp;
-  FaultyVfs vfs;
-  Heard heard;
-  StoreSettings store = settings(temp / "s");
-  KeeperSettings keeper;
-  Case() {
-    store.vfs = FaultyVfs::name;
-    keeper.first_retry = 1ms;
-    keeper.last_retry = 8ms;
-    keeper.told = [this](const KeeperEvent& e) { heard(e); };
-  }
-  KeeperEvent expect(KeeperEvent::Kind kind) {
-    bool found = false;
-    KeeperEvent e = heard.wait(kind, found);
-    EXPECT_TRUE(found);
-    return e;
-  }
-};
-
 TEST(Keeper, NobodyWaitsForADiskThatStandsStillAndTheLatestValueWins) {
   Case c;
   std::mutex disk;
