Call a vote or an incarnation durable only where it is, and write over none unread

Observed in src/fleet/service/keeping.cpp: - became_durable(): an incarnation that the keeper's full queue had refused (number 0) was reported as kept at once; - the constructor: a store that could not be opened at the start was opened later and written over, unread. A second vote in an epoch became durable over the first and was published; a lower incarnation and an older approved version replaced higher ones. Promises (votes, the version voted for, the approved one, incarnations) now stay here until the store has been read; an earlier life's vote holds, its epoch and incarnation never fall; - votes of an earlier life were lost with a store set aside while running: they are remembered and written again; - an incarnation waited for a failing disk for ever, so that this member could not answer a suspicion and was called dead. After 1 s it goes out, and "durable=no" says so. A vote never does; - while a disk failed, the link's thread looked for a vote 100 times a second: now 4 times; - an outage that began at the start had neither a begin nor a duration in the log (store/keeper.cpp, run()). The log has the keeper's line in words (state=failing, still_failing, opened, written_again) in place of numbers.

--- a/src/fleet/service/keeping.cpp
+++ b/src/fleet/service/keeping.cpp
@@ -14,20 +14,12 @@
 constexpr auto kFirstKept =
     500ms;  // the own incarnation is durable before anybody is told of it, or it is said
 
-const char* text_of(store::Opened::How how) {
-  switch (how) {
-    case store::Opened::How::fresh:
-      return "fresh";
-    case store::Opened::How::opened:
-      return "opened";
-    case store::Opened::How::set_aside:
-      return "set_aside";
-    case store::Opened::How::refused:
-      return "refused";
-    case store::Opened::How::failed:
-      break;
-  }
-  return "failed";
+constexpr Duration kLookAgain = 10ms;          // while the store is at work
+constexpr Duration kLookAgainFailing = 250ms;  // while it cannot be written
+
+bool is_promise(const std::string& key) {
+  return key == kIncarnationKey || key == drift::kVoteRecord || key == drift::kHeldRecord ||
+         key == drift::kApprovedRecord;
 }
 
 Incarnation number_of(const std::string& text) {
@@ -45,6 +37,10 @@
   incarnation_ = static_cast<Incarnation>(std::max<std::int64_t>(
       1, std::chrono::duration_cast<std::chrono::seconds>(wall.time_since_epoch()).count()));
   if (settings.store.empty()) return;
+  open(settings, wall);
+}
+
+void Keeping::open(const config::Controllers& settings, Time wall) {
   store::StoreSettings where;
   where.dir = settings.store;
   where.fleet = fleet_;
@@ -52,19 +48,28 @@
   store::Opened opened = store::Store::open(where);
   if (opened.how == store::Opened::How::refused) throw std::runtime_error(opened.why);
   read(opened.kept, wall);
-  say_("store", std::string("dir=\"") + settings.store + "\" how=" + text_of(opened.how) + " records=" +
-                    std::to_string(opened.kept.size()) + " foreign=" + std::to_string(opened.foreign) +
-                    " incarnation=" + std::to_string(incarnation_) +
+  say_("store", std::string("dir=\"") + settings.store + "\" how=" + std::string(store::name(opened.how)) +
+                    " records=" + std::to_string(opened.kept.size()) + " foreign=" +
+                    std::to_string(opened.foreign) + " incarnation=" + std::to_string(incarnation_) +
                     (opened.why.empty() ? "" : " why=\"" + opened.why + "\"") +
                     (opened.where.empty() ? "" : " aside=\"" + opened.where + "\""));
   store::KeeperSettings keeper;
-  keeper.told = [say = say_](const store::KeeperEvent& event) {
-    say("store", "event=" + std::to_string(static_cast<int>(event.kind)) +
-                     " why=" + std::string(store::name(event.why)) + " text=\"" + event.text + "\"");
+  keeper.told = [say = say_](const store::KeeperEvent& event) { say("store", to_text(event)); };
+  keeper.found = [this](const std::vector<store::Kept>& records) {
+    const std::lock_guard lock(late_mutex_);
+    late_ = records;
   };
+  unread_ = opened.store == nullptr;
+  const std::vector<store::Kept> found = std::move(opened.kept);
   keeper_ = std::make_unique<store::Keeper>(where, std::move(opened), std::move(keeper));
-  keeper_->put(kIncarnationKey, std::to_string(incarnation_));
-  if (!keeper_->flush(kFirstKept)) say_("store", "why=late text=\"the own incarnation is not durable yet\"");
+  for (const store::Kept& r : found)
+    if (is_promise(r.key) && r.fleet == fleet_ && r.owner == owner_) keeper_->remember(r.key, r.value);
+  put(Store{kIncarnationKey, std::to_string(incarnation_), std::nullopt});
+  asked_ = 0;
+  asked_since_.reset();
+  if (!keeper_->flush(kFirstKept) || !is_durable(change_))
+    say_("store", "durable=no incarnation=" + std::to_string(incarnation_) +
+                      " text=\"used all the same; it is written as soon as the store can be\"");
 }
 
 // A copied disk tells of another controller: what it says of offices counts as the oldest, its numbers not.
@@ -88,28 +93,107 @@
 }
 
 void Keeping::put(const Store& what) {
-  const std::uint64_t change = keeper_ ? keeper_->put(what.key, what.value) : 0;
   if (what.vote) {
     vote_ = what.vote;
-    vote_change_ = change;
+    vote_change_ = 0;
+  }
+  if (what.key == kIncarnationKey) {
+    asked_ = number_of(what.value);
+    asked_since_.reset();
+    change_ = 0;
+  }
+  if (!keeper_) return;
+  if (!is_promise(what.key)) {
+    keeper_->put(what.key, what.value);
+    return;
   }
-  if (what.key != kIncarnationKey) return;
-  asked_ = number_of(what.value);
-  change_ = change;
+  pending_.insert_or_assign(what.key, what);
+  hand_over();
+}
+
+// What the keeper refuses (its queue is full) stays pending, and what the store may hold already is not
+// written over before it has been read.
+void Keeping::hand_over() {
+  take_late();
+  if (unread_) return;
+  for (auto at = pending_.begin(); at != pending_.end();) {
+    const Store& promise = at->second;
+    if (!stands_against(promise)) {
+      const bool own = promise.key == kIncarnationKey;
+      const Incarnation to = own ? std::max(number_of(promise.value), earlier_incarnation_) : 0;
+      const std::uint64_t change = keeper_->put(promise.key, own ? std::to_string(to) : promise.value);
+      if (change == 0) return;
+      if (promise.vote) vote_change_ = change;
+      if (own) change_ = change;
+    } else if (promise.vote) {
+      vote_.reset();
+      say_("store", "vote=none epoch=" + std::to_string(promise.vote->vote.epoch) +
+                        " text=\"an earlier life has voted in this epoch already\"");
+    }
+    at = pending_.erase(at);
+  }
+}
+
+// An earlier life's vote or approved version, found late, holds against one of the same epoch or a lower one.
+bool Keeping::stands_against(const Store& promise) const {
+  if (promise.vote) return promise.vote->vote.epoch <= earlier_.vote.epoch;
+  const bool held = promise.key == drift::kHeldRecord;
+  if (!held && promise.key != drift::kApprovedRecord) return false;
+  const auto version = drift::read_version(promise.value);
+  return version && version->epoch <= (held ? earlier_.vote.epoch : earlier_.approved.epoch);
 }
 
+void Keeping::take_late() {
+  if (!unread_) return;
+  std::optional<std::vector<store::Kept>> found;
+  {
+    const std::lock_guard lock(late_mutex_);
+    found = std::exchange(late_, std::nullopt);
+  }
+  if (!found) return;
+  unread_ = false;
+  resolve(*found);
+}
+
+void Keeping::resolve(const std::vector<store::Kept>& found) {
+  for (const store::Kept& r : found) {
+    if (r.fleet != fleet_ || r.owner != owner_ || !is_promise(r.key)) continue;
+    keeper_->remember(r.key, r.value);
+    if (r.key == drift::kVoteRecord) earlier_.vote = drift::read_vote(r.value).value_or(drift::Vote{}).vote;
+    if (r.key == drift::kApprovedRecord)
+      if (const auto version = drift::read_version(r.value)) earlier_.approved = name_of(*version);
+    if (r.key == kIncarnationKey) earlier_incarnation_ = number_of(r.value);
+  }
+}
+
+bool Keeping::is_durable(std::uint64_t change) const { return change != 0 && keeper_->kept() >= change; }
+
 std::optional<drift::Vote> Keeping::vote_lasts() {
-  if (!vote_ || !keeper_ || vote_change_ == 0 || keeper_->kept() < vote_change_) return std::nullopt;
+  if (!vote_ || !keeper_) return std::nullopt;
+  hand_over();
+  if (!vote_ || !is_durable(vote_change_)) return std::nullopt;
   return std::exchange(vote_, std::nullopt);
 }
 
-std::optional<Incarnation> Keeping::became_durable() {
+std::optional<Incarnation> Keeping::became_durable(Time now) {
   if (asked_ == 0) return std::nullopt;
   // Where nothing is kept there is nothing to wait for: the next start takes a higher one by the clock.
-  if (keeper_ && change_ != 0 && keeper_->kept() < change_) return std::nullopt;
+  if (!keeper_) return std::exchange(asked_, 0);
+  hand_over();
+  if (!asked_since_) asked_since_ = now;
+  if (!is_durable(change_)) {
+    if (now - *asked_since_ < kNotDurable) return std::nullopt;
+    say_("store", "durable=no incarnation=" + std::to_string(asked_) +
+                      " text=\"used all the same; it is written as soon as the store can be\"");
+  }
   return std::exchange(asked_, 0);
 }
 
+std::optional<Duration> Keeping::look_again() const {
+  if (asked_ == 0 && (!keeper_ || (!vote_ && pending_.empty()))) return std::nullopt;
+  return keeper_ && keeper_->counts().failing ? kLookAgainFailing : kLookAgain;
+}
+
 void Keeping::flush(std::chrono::milliseconds within) {
   if (keeper_) static_cast<void>(keeper_->flush(within));
 }
--- a/src/fleet/service/keeping.h
+++ b/src/fleet/service/keeping.h
@@ -1,15 +1,20 @@
 // What the fleet keeps: opens the store, reads what was kept, and hands on what is to last.
 //
-// Owns: the keeper, what the store held at the start, and how old it is by the wall clock.
-// Must never: trust an age that the clock cannot prove: one in the future, or of another owner's disk, is
-// none.
+// Owns: the keeper, what the store held at the start, and how old it is by the wall clock; the promises (the
+//   own vote, the version that it is for, the approved version, the own incarnations) until the store has
+//   them.
+// Must never: trust an age that the clock cannot prove (one in the future, or of another owner's disk, is
+//   none), report a vote as kept that is not, write a promise over an unread one of an earlier life, or let
+//   the fleet wait for a disk: after kNotDurable an incarnation goes out all the same, and that is said.
 //
 // Threads: the constructor and flush() by the program's own, before and after the link's; the rest by the
 // link's. Errors: the constructor throws std::runtime_error where another process has the store.
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 
 #include "config/controllers.h"
@@ -17,6 +22,9 @@
 
 namespace reeltack::fleet {
 
+// So long an own incarnation waits for the store; members that are not answered call this one dead.
+inline constexpr Duration kNotDurable = std::chrono::seconds(1);
+
 class Keeping {
  public:
   using Say = std::function<void(const std::string& event, const std::string& text)>;
@@ -31,27 +39,44 @@
   void put(const Store& what);
   // Votes asked for by put() and durable now, once each. Never where there is no store.
   [[nodiscard]] std::optional<drift::Vote> vote_lasts();
-  // Incarnations asked for by put() and durable now, once each.
-  [[nodiscard]] std::optional<Incarnation> became_durable();
-  [[nodiscard]] bool waits() const { return asked_ != 0 || (vote_ && keeper_); }
+  // Incarnations asked for by put() and durable now, or said not to be; once each.
+  [[nodiscard]] std::optional<Incarnation> became_durable(Time now);
+  // After how long vote_lasts() and became_durable() may say something new; none while nothing is awaited.
+  [[nodiscard]] std::optional<Duration> look_again() const;
   void flush(std::chrono::milliseconds within);
   [[nodiscard]] bool on() const { return keeper_ != nullptr; }
   [[nodiscard]] store::KeeperCounts counts() const;
 
  private:
+  void open(const config::Controllers& settings, Time wall);
   void read(const std::vector<store::Kept>& records, Time wall);
+  void hand_over();
+  void take_late();
+  void resolve(const std::vector<store::Kept>& found);
+  bool stands_against(const Store& promise) const;
+  [[nodiscard]] bool is_durable(std::uint64_t change) const;
   const std::string fleet_;
   const std::string owner_;
   const Say say_;
   Incarnation incarnation_ = 1;
   std::optional<recovery::Kept> kept_;
   std::vector<members::Update> members_;
-  std::unique_ptr<store::Keeper> keeper_;
-  Incarnation asked_ = 0;
-  std::uint64_t change_ = 0;  // the keeper's number of what asks for it
   drift::Restored rules_;
+
+  std::map<std::string, Store> pending_;  // promises that the keeper has not taken yet
+  bool unread_ = false;                   // there is a store, and what is in it is not known yet
+  // Of an unread store: what an earlier life has voted for, approved and taken.
+  drift::Vote earlier_;
+  Incarnation earlier_incarnation_ = 0;
+  Incarnation asked_ = 0;
+  std::optional<Time> asked_since_;
+  std::uint64_t change_ = 0;  // the keeper's number of what asks for it; 0: not taken yet
   std::optional<drift::Vote> vote_;
-  std::uint64_t vote_change_ = 0;
+  std::uint64_t vote_change_ = 0;  // as above
+
+  std::mutex late_mutex_;
+  std::optional<std::vector<store::Kept>> late_;  // what the keeper's thread has found in an unread store
+  std::unique_ptr<store::Keeper> keeper_;         // the first to go
 };
 
 }  // namespace reeltack::fleet
--- a/src/fleet/service/service.cpp
+++ b/src/fleet/service/service.cpp
@@ -15,7 +15,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration kDurableAgain = 10ms;  // while the store has not said that it holds the incarnation
 constexpr auto kFlushed = 300ms;
 
 Time steady() { return Time{std::chrono::steady_clock::now().time_since_epoch()}; }
@@ -79,7 +78,7 @@
     turn_.on(now, event, actions);
   }
   void tick(Time now, TurnActions& actions) override {
-    if (const auto durable = keeping_.became_durable()) turn_.on(now, IncarnationKept{*durable}, actions);
+    if (const auto durable = keeping_.became_durable(now)) turn_.on(now, IncarnationKept{*durable}, actions);
     read_rules(now, actions);
     if (now >= sightings_.next(opens())) {
       saw_.clear();
@@ -92,7 +91,8 @@
   void leave(Time now, TurnActions& actions) override { turn_.leave(now, actions); }
   [[nodiscard]] Time next() const override {
     const Time at = std::min({turn_.next(), sightings_.next(opens()), reading_.next()});
-    return keeping_.waits() ? std::min(at, steady() + kDurableAgain) : at;
+    const auto look_again = keeping_.look_again();
+    return look_again ? std::min(at, steady() + *look_again) : at;
   }
 
   // ---- from others
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -20,6 +20,10 @@
   return "opened";
 }
 
+Written no_store(const Opened& opened) {
+  return {opened.how == Opened::How::refused ? Why::disputed : Why::io, opened.why};
+}
+
 // A text of the engine may hold a quote; a line of the log must not end there.
 std::string quoted(std::string text) {
   std::replace(text.begin(), text.end(), '"', '\'');
@@ -45,6 +49,7 @@
       settings_(std::move(settings)),
       store_(std::move(opened.store)),
       looked_(store_ != nullptr),
+      no_store_(no_store(opened)),
       outage_(settings_.first_reminder, settings_.last_reminder) {
   thread_ = base::Thread([this] { run(); });
 }
@@ -181,7 +186,7 @@
   store_ = std::move(opened.store);
   if (store_ == nullptr) {
     std::unique_lock lock(mutex_);
-    const auto news = failed(opened.how == Opened::How::refused ? Why::disputed : Why::io, opened.why);
+    const auto news = failed(no_store(opened).why, opened.why);
     lock.unlock();
     tell(news);
     return false;
@@ -261,7 +266,13 @@
 void Keeper::run() {
   std::chrono::milliseconds wait{0};
   std::unique_lock lock(mutex_);
-  if (store_ == nullptr) wait = settings_.first_retry;
+  if (store_ == nullptr) {
+    wait = settings_.first_retry;
+    const auto news = failed(no_store_.why, no_store_.text);
+    lock.unlock();
+    tell(news);
+    lock.lock();
+  }
   for (;;) {
     if (wait.count() > 0) {
       work_.wait_for(lock, wait, [&] { return stopping_; });
--- a/src/store/keeper.h
+++ b/src/store/keeper.h
@@ -123,6 +123,7 @@
   bool opening_told_ = false;     // in this outage
   unsigned io_failures_ = 0;      // in a row
   Why last_why_ = Why::none;
+  const Written no_store_;  // why none was given
 
   mutable std::mutex mutex_;
   std::condition_variable work_, done_;
