Release calls of an endpoint that falls silent after its connection ended; late ends

Observed, each forced on sockets by the new tests: (1) a connection ends, then the machine is silent: the calls that stand there were never released (Reach::failed knew only refusals; reach.cpp:17, link_dial.cpp:39). (2) A START was written to a connection whose end had already come (link.cpp, may_leave), and a call with an effect failed though it had not run. (3) An answer or end of a given-up attempt, read while the next attempt of the call waited unsent or was out, was taken for that one (link.cpp, take): the next attempt was never sent, or was taken for ended while it ran. (4) A give-up that crossed the end of its connection was lost, and a release could go again after the same call had been sent there once more (releases were forgotten by time alone). (5) A connection that is cut off was read for 1 s after it was left (link_leaving.cpp, kRest); a release that the endpoint wrote there later, or that it writes on the next connection opened, was lost while the replacement stayed up. (6) What waited for a connection to a draining or removed endpoint waited for the dial limit; releases and a pending connect of the old process were kept for a new start at the same address.

Not forced: a partial write on a link (loopback takes megabytes before it blocks).

--- a/src/membership/reach.cpp
+++ b/src/membership/reach.cpp
@@ -19,9 +19,17 @@
   const bool died = how == Dialled::refused && was_up_;
   // Another process may take over the address: no dialling for nothing until this one is told as started.
   dead_ = dead_ || died;
-  if (died) was_up_ = false;
+  // The connection has ended and no new one comes up: the same silence as that of an open one.
+  const bool lost = how == Dialled::failed && was_up_ && calls_stand_ && at >= heard_ + settings_.lost;
+  if (died || lost) was_up_ = false;
   retry_at_ = at + settings_.look;
-  return died;
+  return died || lost;
+}
+
+Time Reach::dial_by(Time at, Duration limit) const {
+  const Time lost_at = heard_ + settings_.lost;
+  const bool awaited = calls_stand_ && was_up_ && at < lost_at;
+  return awaited ? std::min(at + limit, lost_at) : at + limit;
 }
 
 void Reach::up(Time at) {
--- a/src/membership/reach.h
+++ b/src/membership/reach.h
@@ -32,7 +32,7 @@
   void keep(bool calls_stand) { calls_stand_ = calls_stand; }
 
   // What was dialled without a connection: true where calls that stand there are over, for the process has
-  // died.
+  // died, or nothing was heard and nothing came up for too long.
   bool failed(Dialled how, Time at);
   void up(Time at);
   void ended(Time at);  // the connection
@@ -47,6 +47,10 @@
   // When a connection is to be dialled; Time::max(): not at all. `open`: set-ups wait for it. `owed`:
   // releases do.
   [[nodiscard]] Time dial_at(bool open, bool owed) const;
+  // By when a connection that is dialled at `at` must be up; sooner than `limit` where calls that stand would
+  // count as lost meanwhile.
+  [[nodiscard]] Time dial_by(Time at, Duration limit) const;
+  [[nodiscard]] bool calls_stand() const { return calls_stand_; }
   [[nodiscard]] Time ask_at() const;  // of an open connection; Time::max(): it may stay quiet
 
  private:
--- a/src/membership/releases.cpp
+++ b/src/membership/releases.cpp
@@ -9,8 +9,8 @@
   sent_.push_back({call, std::move(text), at});
 }
 
-void Releases::heard(CallId call) {
-  std::erase_if(sent_, [call](const One& one) { return one.call == call; });
+bool Releases::heard(CallId call) {
+  return std::erase_if(sent_, [call](const One& one) { return one.call == call; }) > 0;
 }
 
 void Releases::spoke(Time at) {
--- a/src/membership/releases.h
+++ b/src/membership/releases.h
@@ -32,8 +32,9 @@
   explicit Releases(ReleasesSettings settings = {}) : settings_(settings) {}
 
   void sent(CallId call, std::string text, Time at);
-  void heard(CallId call);  // the far end has said that it heard this one
-  void spoke(Time at);      // the far end has said anything
+  // The far end has said that it heard this one, or it must not go again. False: none was pending.
+  bool heard(CallId call);
+  void spoke(Time at);  // the far end has said anything
   // The connection has ended: those to be sent again, in their order. It begins anew.
   [[nodiscard]] std::vector<std::pair<CallId, std::string>> ended(Time at);
   void forget() { sent_.clear(); }  // whoever was told is gone, and its calls with it
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -19,9 +19,11 @@
   const auto address = net::parse_address(office.address);
   // Guards against speaking to a dead process, or to one that has taken over the address.
   const bool another = reach_.told(office.entry);
+  if (another) owed_.clear();  // with the process went its calls
   if (another || (address && net::to_text(*address) != net::to_text(address_))) outdated_ = true;
   if (outdated_ && line_) line_->fd.shut();
   if (address) address_ = *address;
+  if (!reach_.ready()) withdraw_unsent();
   loop_.wake(watch_);
 }
 
@@ -47,13 +49,36 @@
     const Open open = std::move(found->second);
     open_.erase(found);
     line = line_;
-    if (!line || line->outbox.withdraw(open.tag)) return;
-    // A peer that does not read would get this too late: closing gives up what is open there at once.
-    if (line->outbox.blocked() || !line->outbox.push(finish_line(call))) return line->fd.shut();
+    if (!line) return;
+    if (!open.left) {  // nor will it
+      line->outbox.withdraw(open.tag);
+      return;
+    }
+    // A peer that does not read would get this too late: closing gives up what is open there at once. Its
+    // answer may cross that, so that it is told on the next connection as well.
+    if (line->outbox.blocked()) {
+      owed_.emplace_back(call, finish_line(call));
+      return line->fd.shut();
+    }
+    // Kept until it must have been read, as a release: an answer that crosses it stands until then.
+    if (!tell_over(call, finish_line(call))) return line->fd.shut();
   }
   pump(line);
 }
 
+// It is told as draining or gone: what has not begun to leave need not wait for a connection to hear of it.
+void OfficeLink::withdraw_unsent() {
+  for (auto at = open_.begin(); at != open_.end();) {
+    const auto next = std::next(at);
+    const Open& open = at->second;
+    if (!open.left && (!line_ || line_->outbox.withdraw(open.tag))) {
+      core_.send_failed(at->first, open.attempt, Ending::not_sent);
+      open_.erase(at);
+    }
+    at = next;
+  }
+}
+
 void OfficeLink::release(CallId call) {
   std::shared_ptr<Line> line;
   {
@@ -79,6 +104,8 @@
     if (outdated_) {
       if (line_) drop(Rest::read);  // whoever may speak there is not the one that is listed
       let_go();
+      loop_.unwatch(dialling_);
+      dialling_.reset();
     } else if (line_ && ready && !read()) {
       drop(Rest::read);
     }
@@ -119,8 +146,12 @@
     if (on != line_.get() || found == open_.end() || found->second.attempt != attempt) return false;
     const Time at = net::now();
     if (reach_.ready() && at < found->second.give_up) {
+      // It ends, by us or by the office: what has not begun to leave goes on the next connection.
+      if (outdated_ || on->fd.far_end_closed()) return false;
       if (reach_.left(at)) look_in_time();
       core_.attempt_left();
+      // An end of an attempt before this one must not go again once this one is there.
+      if (attempt > 0) found->second.follows_give_up = releases_.heard(call);
       return found->second.left = true;
     }
     open_.erase(found);
@@ -137,7 +168,7 @@
   reach_.heard(at);
   releases_.spoke(at);
   // It may be up, and bring what the office owes.
-  if (asking_) leave(std::make_shared<Line>(std::move(asking_)), {});
+  if (asking_ && !collecting_) leave(std::make_shared<Line>(std::move(asking_)), {}, Leaves::beside);
   for (;;) {
     const std::string_view held = buffer_.view();
     const std::size_t end = held.find('\n');
@@ -163,7 +194,7 @@
   Time at = net::kNever;
   if (line_) {
     loop_.watch(watch_, line_->fd, true, line_->outbox.blocked());
-    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : reach_.ask_at());
+    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : std::min(reach_.ask_at(), collect_at()));
     if (asking_) loop_.watch(watch_, asking_, false, true);
   } else if (dialling_) {
     loop_.watch(watch_, dialling_, false, true);
@@ -180,15 +211,23 @@
 // From now on it is to be looked at: woken only where no turn is due in time anyway. Of an open connection,
 // or of one that is wanted.
 void OfficeLink::look_in_time() {
-  if ((line_ ? reach_.ask_at() : dial_at()) < turn_by_) loop_.wake(watch_);
+  if ((line_ ? std::min(reach_.ask_at(), collect_at()) : dial_at()) < turn_by_) loop_.wake(watch_);
 }
 
+// A call may have been given up here and sent again. An answer of the attempt before lets the call stand as
+// well as one of its own. An end that may be the earlier attempt's proves nothing of the one that is out,
+// which is given up in turn.
 void OfficeLink::take(std::string_view text) {
   OfficeLine line = read_line(text);
   using Verb = OfficeLine::Verb;
   if (line.verb == Verb::load) return core_.reported(id_, line.report);
   if (line.verb == Verb::nothing) return;
-  open_.erase(line.call);
+  if (const auto found = open_.find(line.call); found != open_.end()) {
+    if (!found->second.left) return;  // of an attempt before, whose end is written or owed
+    if (line.verb == Verb::finish && found->second.follows_give_up)
+      return core_.send_failed(line.call, found->second.attempt, Ending::reset);
+    open_.erase(found);
+  }
   if (line.verb == Verb::finish)
     return core_.ended({id_, line.call, line.cause, std::move(line.note), line.report});
   if (line.report.free_lines >= 0.0) core_.reported(id_, line.report);
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -50,7 +50,9 @@
   struct Leaving {
     std::shared_ptr<Line> line;
     net::Buffer buffer;
+    Time left_at{};
     Time until{};
+    Time collect_at{};  // what may be lost on it is collected by another connection then
   };
   struct Open {
     std::uint32_t attempt = 0;
@@ -58,6 +60,7 @@
     Time give_up{};
     bool left = false;
     std::string text;
+    bool follows_give_up = false;  // an attempt of the same call was given up here, perhaps not read yet
   };
   void pump(const std::shared_ptr<Line>& line);
   bool may_leave(CallId call, std::uint32_t attempt, const Line* on);
@@ -73,13 +76,20 @@
   void drop(Rest rest);
   bool read();
   void take(std::string_view text);
-  void leave(std::shared_ptr<Line> line, net::Buffer buffer);
+  // The line that was in use, or one that came up beside it.
+  enum class Leaves { used, beside };
+  void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
   void let_go();  // of all that is being left
   void read_leaving();
-  bool read_rest(Leaving& from);
+  enum class RestRead { more, ended, spoilt };
+  RestRead read_rest(Leaving& from);
   void take_late(std::string_view text);
-  void tell_over(CallId call, std::string text);
+  bool tell_over(CallId call, std::string text);  // false: it is owed to the next connection
+  void withdraw_unsent();
   void ask_if_there();
+  void asked(net::Dial how, Time at);
+  void collected(net::Dial how);
+  [[nodiscard]] Time collect_at() const;
   void end();
   void arm();
   void look_in_time();
@@ -103,9 +113,11 @@
   net::Buffer buffer_;  // of the line
   net::Fd dialling_;
   net::Address dialled_;
-  net::Fd asking_;  // a second connection, beside one that has gone quiet
-  Time dial_by_{};  // for either
-  Time turn_by_{};  // a turn comes by then; in the past: nothing is known
+  net::Fd asking_;                      // a second connection, beside one that has gone quiet
+  bool collecting_ = false;             // it is for releases that may be lost, and the first one is not quiet
+  Time collect_once_at_ = net::kNever;  // a connection could not be read to its end
+  Time dial_by_{};                      // for either
+  Time turn_by_{};                      // a turn comes by then; in the past: nothing is known
 };
 
 }  // namespace reeltack::platform
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -1,6 +1,7 @@
 // How a link's connections come and go: dialled, lost, and asked for by a second one.
 #include "base/base.h"
 #include "platform/link.h"
+#include "platform/office_lines.h"
 
 namespace reeltack::platform {
 namespace {
@@ -17,7 +18,8 @@
   net::Dial how = net::Dial::failed;
   dialled_ = address_;
   dialling_ = net::dial_begin(address_, how);
-  dial_by_ = net::now() + dial_limit_;
+  const Time at = net::now();
+  dial_by_ = reach_.dial_by(at, dial_limit_);
   if (how != net::Dial::pending) dialled(how);
 }
 
@@ -41,7 +43,8 @@
   lost.swap(open_);
   if (!reach_.gone()) core_.reached(id_, false);
   if (reach_.failed(dialled_as(how), net::now())) {
-    net::log_line("office " + net::office_name(id_) + " refuses connections: its calls are cut");
+    const char* sign = how == net::Dial::refused ? " refuses connections" : " is silent and out of reach";
+    net::log_line("office " + net::office_name(id_) + sign + ": its calls are cut");
     core_.office_died(id_);
   }
   for (const auto& [call, open] : lost) core_.send_failed(call, open.attempt, Ending::connect_failed);
@@ -50,6 +53,7 @@
 void OfficeLink::up(net::Fd fd) {
   line_ = std::make_shared<Line>(std::move(fd));
   buffer_ = {};
+  collect_once_at_ = net::kNever;  // this one does
   reach_.up(net::now());
   core_.reached(id_, true);
   for (auto& [call, text] : std::exchange(owed_, {})) tell_over(call, std::move(text));
@@ -61,7 +65,7 @@
   line_.reset();
   line->outbox.abandon();
   if (rest == Rest::unread) {
-    leave(line, std::move(buffer_));
+    leave(line, std::move(buffer_), Leaves::used);
   } else {
     loop_.unwatch(line->fd);
     line->fd.shut();
@@ -73,10 +77,13 @@
   }
   // The second one may be up already, with what the office owes on it: it takes the first one's place.
   if (asking_) dialling_ = std::move(asking_);
+  collecting_ = false;
   for (auto& release : releases_.ended(net::now())) owed_.push_back(std::move(release));
   // What has not left never ran, and goes on the next connection while its time lasts.
   for (auto at = open_.begin(); at != open_.end();) {
     const auto next = std::next(at);
+    // An answer that crosses the end lets the call stand there, where nobody wants it.
+    if (at->second.left && !outdated_) owed_.emplace_back(at->first, finish_line(at->first));
     if (at->second.left || !reach_.ready()) {
       core_.send_failed(at->first, at->second.attempt, at->second.left ? Ending::reset : Ending::not_sent);
       open_.erase(at);
@@ -93,20 +100,27 @@
   if (asking_) {
     how = net::dial_state(asking_);
     if (how == net::Dial::pending && at >= dial_by_) how = net::Dial::failed;
-  } else if (at >= reach_.ask_at()) {
+  } else if (const bool quiet = at >= reach_.ask_at(); quiet || at >= collect_at()) {
+    collecting_ = !quiet;
     asking_ = net::dial_begin(address_, how);
     dialled_ = address_;
-    dial_by_ = at + dial_limit_;
+    dial_by_ = reach_.dial_by(at, dial_limit_);
   }
-  if (how == net::Dial::pending || line_->fd.unread()) return;  // unread: it is not quiet, and is read first
+  if (how == net::Dial::pending) return;
+  if (collecting_) return collected(how);
+  if (line_->fd.unread()) return;  // it is not quiet, and is read first
+  asked(how, at);
+}
+
+void OfficeLink::asked(net::Dial how, Time at) {
   net::Fd fresh = std::move(asking_);
   loop_.unwatch(fresh);
-  const auto asked = reach_.asked(dialled_as(how), at);
-  if (asked == membership::Reach::Asked::wait) return;
-  const bool replaced = asked == membership::Reach::Asked::replaced;
+  const auto outcome = reach_.asked(dialled_as(how), at);
+  if (outcome == membership::Reach::Asked::wait) return;
+  const bool replaced = outcome == membership::Reach::Asked::replaced;
   drop(replaced ? Rest::unread : Rest::read);
   if (replaced) return up(std::move(fresh));
-  if (asked == membership::Reach::Asked::drop) return;
+  if (outcome == membership::Reach::Asked::drop) return;
   net::log_line("office " + net::office_name(id_) + " is silent and out of reach: its calls are cut");
   core_.reached(id_, false);
   core_.office_died(id_);
--- /dev/null
+++ b/tests/crossings/endpoint_connections_test.cpp
@@ -0,0 +1,129 @@
+// Connections to endpoints that end, never come up or are told as over while a set-up goes on them: what has
+// not begun to leave is sent once on the next, and what may have left is never taken for unsent.
+#include "crossings/endpoint_world.h"
+
+namespace reeltack::test {
+namespace {
+
+using Lines = std::vector<std::string>;
+constexpr CallId kCall{0x71};
+constexpr CallId kOther{0x72};
+
+class EndpointConnections : public EndpointWorld {};
+
+// The endpoint closed its idle connection, and we have not been told yet: the set-up goes on the next one.
+TEST_F(EndpointConnections, SetUpAfterAnIdleCloseGoesOnTheNextConnection) {
+  FakeEndpoint& endpoint = add(1);
+  net::Fd idle = connected(endpoint);
+  idle.reset();          // its end has come to our side, on loopback at once
+  endpoint.held = true;  // we have not looked
+  request(kCall, 9s, kOnce);
+  ASSERT_TRUE(links_.await_start(endpoint.id, kCall));
+  endpoint.held = false;
+  const net::Fd next = accept(endpoint);
+  EXPECT_TRUE(is(line(next), "START", kCall));
+  EXPECT_EQ(callers_.events(kCall), Lines{});
+}
+
+// The same where the endpoint has forgotten the connection and resets it.
+TEST_F(EndpointConnections, SetUpAfterAResetGoesOnTheNextConnection) {
+  FakeEndpoint& endpoint = add(1);
+  net::Fd idle = connected(endpoint);
+  const linger abrupt{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(idle.get(), SOL_SOCKET, SO_LINGER, &abrupt, sizeof abrupt);
+  idle.reset();
+  endpoint.held = true;  // we have not looked
+  request(kCall, 9s, kOnce);
+  ASSERT_TRUE(links_.await_start(endpoint.id, kCall));
+  endpoint.held = false;
+  const net::Fd next = accept(endpoint);
+  EXPECT_TRUE(is(line(next), "START", kCall));
+}
+
+// The endpoint resets the connection once the set-up has left: it may have run, so that it isn't sent again
+// within the release guard, and the endpoint is told that it is over.
+TEST_F(EndpointConnections, SetUpThatLeftBeforeAResetIsNotSentAgainUnguarded) {
+  FakeEndpoint& endpoint = add(1);
+  net::Fd first = connected(endpoint);
+  request(kCall);
+  ASSERT_TRUE(is(line(first), "START", kCall));
+  const linger abrupt{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(first.get(), SOL_SOCKET, SO_LINGER, &abrupt, sizeof abrupt);
+  const Time ended = net::now();
+  first.reset();
+  const net::Fd next = accept(endpoint);
+  EXPECT_TRUE(is(line(next), "FINISH", kCall)) << "its answer may have crossed the end";
+  EXPECT_TRUE(is(line(next), "START", kCall));
+  EXPECT_GE(net::now() - ended, 300ms);
+}
+
+// The first connection does not come up, and the endpoint drains meanwhile: the call need not wait for
+// either.
+TEST_F(EndpointConnections, DrainWhileConnectingFreesWhatWaitsForTheConnection) {
+  FakeEndpoint& first = add(1);
+  first.held = true;
+  tell(first, ServerState::ready);
+  request(kCall);
+  ASSERT_TRUE(links_.await_start(first.id, kCall));
+  FakeEndpoint& second = add(2);
+  const net::Fd other = connected(second);
+  tell(first, ServerState::draining);
+  EXPECT_TRUE(is(line(other), "START", kCall)) << "it goes to another while the first still connects";
+  first.held = false;
+  turns();
+  const net::Fd late = net::accept_one(first.listening, net::now() + 50ms);
+  if (late) {
+    EXPECT_EQ(lines_until_now(first, late), Lines{}) << "nothing new after it was told as draining";
+  }
+}
+
+// Told as draining between the choice and the write.
+TEST_F(EndpointConnections, DrainBetweenChoiceAndWriteSendsNothing) {
+  FakeEndpoint& endpoint = add(1);
+  const net::Fd connection = connected(endpoint);
+  tell(endpoint, ServerState::draining);
+  EXPECT_TRUE(start(endpoint, kCall));
+  EXPECT_EQ(lines_until_now(endpoint, connection), Lines{});
+}
+
+// Removed and added again at the same address as a new start: nothing that was meant for the old process goes
+// to the new one, on either connection.
+TEST_F(EndpointConnections, NewStartAtTheSameAddressGetsNothingOfTheOldProcess) {
+  FakeEndpoint& endpoint = add(1);
+  net::Fd old = connected(endpoint);
+  old.reset();
+  turns();
+  endpoint.link->release(CallId{0x99});  // no connection: owed to the process that goes
+  tell(endpoint, ServerState::ready, Time{5s});
+  const net::Fd fresh = accept(endpoint);
+  EXPECT_EQ(lines_until_now(endpoint, fresh), Lines{});
+}
+
+// A connection that was begun before the new start was told may lead to the old process: another one is
+// opened.
+TEST_F(EndpointConnections, ConnectionBegunBeforeANewStartIsNotUsed) {
+  FakeEndpoint& endpoint = add(1);
+  tell(endpoint, ServerState::ready);
+  endpoint.link->turn(false);  // it connects, and is up as far as the kernel knows
+  const net::Fd begun = net::accept_one(endpoint.listening, net::now() + 10s);
+  ASSERT_TRUE(static_cast<bool>(begun));
+  tell(endpoint, ServerState::ready, Time{5s});
+  EXPECT_TRUE(start(endpoint, kCall));
+  const net::Fd fresh = accept(endpoint);
+  EXPECT_TRUE(is(line(fresh), "START", kCall));
+  EXPECT_EQ(line(begun), "");
+}
+
+// Gone while the set-up waits for the connection.
+TEST_F(EndpointConnections, GoneWhileConnectingEndsAllThatWaits) {
+  FakeEndpoint& endpoint = add(1);
+  tell(endpoint, ServerState::ready);
+  EXPECT_TRUE(start(endpoint, kCall));
+  tell(endpoint, ServerState::gone);
+  EXPECT_FALSE(start(endpoint, kOther));
+  turns();
+  EXPECT_FALSE(static_cast<bool>(net::accept_one(endpoint.listening, net::now() + 50ms)));
+}
+
+}  // namespace
+}  // namespace reeltack::test
--- a/tests/membership/reach_test.cpp
+++ b/tests/membership/reach_test.cpp
@@ -95,6 +95,30 @@
   r.ended(at(6s));
   EXPECT_TRUE(r.failed(Dialled::refused, at(6020ms)));  // and then it is a death
 }
+// The connection ended before the machine fell silent: the same bound as of one that is open and quiet.
+TEST(Reach, SilenceAfterTheConnectionHasEndedIsALossToo) {
+  Reach r = up_at_start(true);
+  r.heard(at(1s));
+  r.ended(at(2s));
+  EXPECT_FALSE(r.failed(Dialled::failed, at(6500ms - 1ns)));
+  EXPECT_TRUE(r.failed(Dialled::failed, at(6500ms)));
+  EXPECT_FALSE(r.failed(Dialled::failed, at(7s))) << "once";
+  EXPECT_EQ(r.dial_at(false, false), at(7250ms)) << "it is still looked for";
+}
+TEST(Reach, WithoutACallThatStandsNothingIsLost) {
+  Reach r = up_at_start(false);
+  r.ended(at(2s));
+  EXPECT_FALSE(r.failed(Dialled::failed, at(60s)));
+}
+// However long a connection may take by the settings: the calls that stand are not kept waiting for it.
+TEST(Reach, AConnectionIsAwaitedNoLongerThanTheCallsThatStand) {
+  Reach r = up_at_start(true);
+  EXPECT_EQ(r.dial_by(at(2500ms), 500ms), at(3s));
+  EXPECT_EQ(r.dial_by(at(2500ms), 60s), at(5500ms));
+  EXPECT_EQ(r.dial_by(at(6s), 500ms), at(6500ms));  // that time has passed
+  r.keep(false);
+  EXPECT_EQ(r.dial_by(at(2500ms), 60s), at(62500ms));
+}
 TEST(Reach, GoneIsForGood) {
   Reach r = up_at_start(true);
   EXPECT_TRUE(r.told(entry(ServerState::gone)));
