Answer or give up what is open as callers close, however late that is noticed

Now what has come is read before its peer is called late. - Peer::end_reading(): after a half-close, a malformed message or a message not whole in time, set-ups that were open on the connection were given up with no answer, though the caller can still read. Now reading ends, what is open is answered (after a half-close: 487, for the caller has left), and then the connection ends. - Peer::turn(): where writing failed (the caller's reset), what had come before it was never read; a BYE in it was lost and the call stood on at its endpoint. Now what has come is read first, within a bound. - SipConnection::received(): a well-framed request that can't be matched (no Call-ID, say) ended the connection, and with it the requests behind it in the same read. Now it gets its 400 and the next one is read. The scenario MalformedCallersAreAnsweredAndClosed held the old end; it holds now that the next request is answered and that bytes without framing end the connection. - SipFront::stands(): an answer was pushed to a caller whose close the kernel held and the loop had not read; the call stood for nobody. Now that counts as left, and the endpoint is released once. - SipFront::take_invite(): of the same INVITE on two connections the first lost its claim, and the close of the second gave the call up while the first waited. Now the call is given up with the last of them, and its one answer goes to the last that can be reached. - Core::send(): a call that waited in a queue or for a retry was sent although its caller had closed, as long as the loop had not noticed. Now the front is asked (one poll of the descriptor) before an attempt of a call that is older than 20 ms. The ending of a connection moves to src/net/peer_ending.cpp, unchanged but for this.

--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -21,6 +21,7 @@
   request.told.caller_leaves = leaves;
   Record& record = calls_[call];
   record.request = std::move(request);
+  record.admitted = now_;
   if (!record.request.class_known) return finish(record, Phase::failed, Why::unknown_class, {});
   if (leaves <= now_) return finish(record, Phase::failed, Why::deadline_passed, {});
   record.deadline =
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -43,6 +43,9 @@
   virtual void refused(CallId call, Why why, Duration later) = 0;
   virtual void released(CallId call, int cause) = 0;
   virtual void over(CallId call) = 0;  // its caller has released it: nothing of it need be kept
+  // False: the caller of an open call has left, though that has not been said yet. Asked before an attempt of
+  // a call that has waited.
+  virtual bool waits(CallId /*call*/) { return true; }
 };
 
 struct SetUp {
@@ -167,6 +170,7 @@
   };
   struct Record {
     Request request;
+    Time admitted{};
     Phase phase = Phase::open;
     Why why = Why::none;
     std::uint32_t attempts = 0;
--- a/src/core/send.cpp
+++ b/src/core/send.cpp
@@ -6,6 +6,12 @@
 #include "core/core.h"
 
 namespace reeltack::core {
+namespace {
+
+// A caller that left no longer ago than this needs no notice: an attempt may begin so soon after.
+constexpr Duration kNoticed = std::chrono::milliseconds(20);
+
+}  // namespace
 
 void Core::send(const SendSetUp& wanted) {
   Record* r = find(wanted.call);
@@ -16,6 +22,11 @@
     ++r->attempts;
     return tell_ended(*r, attempt, Ending::not_sent, false);
   }
+  if (now_ >= r->admitted + kNoticed && !r->request.side->waits(wanted.call)) {
+    ++r->attempts;
+    tell_ended(*r, attempt, Ending::not_sent, true);
+    return finish(*r, Phase::given_up, Why::given_up, {});
+  }
   ++r->attempts;
   ++counts_.attempts;
   r->out = attempt;
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -1,18 +1,14 @@
 #include "net/peer.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
 
 namespace reeltack::net {
 namespace {
 
 // A peer that has said nothing for so long may be spared: usual ones send as soon as they are connected.
 constexpr Duration kShy = std::chrono::milliseconds(250);
-// What a peer still sends after its last answer is read and dropped within these bounds.
-constexpr Duration kDrain = std::chrono::seconds(1);
-constexpr std::size_t kMostDrained = std::size_t{64} * 1024 * 1024;
+// Reads of what a broken connection had still brought, of some KB each.
+constexpr int kMostRest = 32;
 
 }  // namespace
 
@@ -27,9 +23,14 @@
 
 void Peer::turn(bool ready) {
   if (stage_ == Stage::over) return;
-  if (outbox_.flush(fd_) == Outbox::Flushed::broken && stage_ == Stage::reading) end_reading(broken());
+  if (outbox_.flush(fd_) == Outbox::Flushed::broken) {
+    const End why = broken();  // before answers to the rest fail as well
+    if (stage_ == Stage::reading) read_rest();
+    if (stage_ == Stage::reading || stage_ == Stage::answering) abandon_open(why);
+  }
   if (stage_ == Stage::reading && ready && !outbox_.crowded()) read();
   if (stage_ == Stage::reading) keep_to_limits();
+  if (stage_ == Stage::answering) answer_open();
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
   if (stage_ == Stage::draining) drain();
   if (stage_ != Stage::over) arm();
@@ -47,16 +48,30 @@
   if (next == Next::end) end_reading(End::own);
 }
 
+// A connection that can't be written may have brought what concerns other connections: the end of a standing
+// call, say.
+void Peer::read_rest() {
+  for (int reads = 0; reads < kMostRest && !retiring_; ++reads) {
+    if (buffer_.fill_now(fd_) != Got::data || received() == Next::end) return;
+  }
+}
+
 // Nothing more is taken from a peer that leaves its answers unread: they would pile up.
 void Peer::keep_to_limits() {
   const Time at = now();
   patience_.crowded(outbox_.crowded(), at);
-  if (may_close()) return end_reading(End::own);
-  const auto overdue = patience_.overdue(at);
+  if (may_close()) return abandon_open(End::own);
+  auto overdue = patience_.overdue(at);
+  // What came in time may lie unread where the processor is short: then its peer is neither late nor silent.
+  while (overdue && overdue != limits::Overdue::unread && !outbox_.crowded() && fd_.unread()) {
+    read();
+    if (stage_ != Stage::reading) return;
+    overdue = patience_.overdue(at);
+  }
   if (!overdue) return;
   switch (*overdue) {
     case limits::Overdue::unread:
-      return end_reading(End::unread);
+      return abandon_open(End::unread);
     case limits::Overdue::late:
       late();
       return end_reading(End::late);
@@ -79,54 +94,10 @@
   return open_.empty() && !fd_.unread();
 }
 
-void Peer::end_reading(End why) {
-  why_ = why;
-  std::set<CallId> open;
-  {
-    const std::lock_guard hold(lock_);
-    open.swap(open_);
-  }
-  stage_ = Stage::writing;
-  outbox_.finish();
-  left(open);
-}
-
-void Peer::finish_writing(Outbox::Flushed how) {
-  if (how == Outbox::Flushed::broken) return end();
-  if (how != Outbox::Flushed::done) return;
-  // The peer may still be sending: closing the other way too would have it reset, and the last answer lost.
-  fd_.shut_write();
-  if (!drains_) return end();
-  stage_ = Stage::draining;
-  drained_by_ = now() + kDrain;
-}
-
-void Peer::drain() {
-  constexpr std::size_t kStep = std::size_t{256} * 1024;
-  for (;;) {
-    // TCP drops the bytes itself where it is told to truncate: no memory, and no copy.
-    const ssize_t n = ::recv(fd_.get(), nullptr, kStep, MSG_TRUNC | MSG_DONTWAIT);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) break;
-    if (n <= 0) return end();
-    drained_ += static_cast<std::size_t>(n);
-    if (drained_ >= kMostDrained) return end();
-  }
-  if (now() >= drained_by_) end();
-}
-
-void Peer::end() {
-  stage_ = Stage::over;
-  outbox_.abandon();
-  loop_->unwatch(fd_);
-  loop_->remove(id_);
-  over_ = true;
-  if (ended_) ended_(*this);
-}
-
 // Told anew after each turn: what it waits for, and until when.
 void Peer::arm() {
-  const bool reads = (stage_ == Stage::reading && !outbox_.crowded()) || stage_ == Stage::draining;
+  const bool reads = (stage_ == Stage::reading && !outbox_.crowded()) ||
+                     (stage_ == Stage::answering && !left_told_) || stage_ == Stage::draining;
   const bool kept = loop_->watch(id_, fd_, reads, outbox_.blocked());
   Time at = outbox_.due();
   if (stage_ == Stage::reading) at = std::min(at, patience_.next());
@@ -164,13 +135,13 @@
 void Peer::stood(CallId call) {
   const std::lock_guard hold(lock_);
   if (open_.erase(call) > 0) standing_.insert(call);
-  if (closing_ != Closing::no) loop_->wake(id_);
+  if (closing_ != Closing::no || answering_) loop_->wake(id_);
 }
 void Peer::closed(CallId call) {
   const std::lock_guard hold(lock_);
   open_.erase(call);
   standing_.erase(call);
-  if (closing_ != Closing::no) loop_->wake(id_);
+  if (closing_ != Closing::no || answering_) loop_->wake(id_);
 }
 Peer::Spare Peer::spare() const {
   const std::lock_guard hold(lock_);
@@ -179,7 +150,7 @@
 // Kept is all that has a set-up open, has said what is not yet read or taken, or has not been written its
 // answer: where the processor is short, the loop may come to these late.
 Peer::Spare Peer::spare_now() const {
-  if (over_ || retiring_ || closing_ != Closing::no || patience_.begun() || !open_.empty() ||
+  if (over_ || retiring_ || answering_ || closing_ != Closing::no || patience_.begun() || !open_.empty() ||
       outbox_.behind() || fd_.unread())
     return Spare::kept;
   if (!patience_.served()) return heard() + kShy < now() ? Spare::silent : Spare::kept;
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -58,7 +58,9 @@
   void close(bool now);
   [[nodiscard]] bool retiring() const { return retiring_; }
   // It is not ending, by either side, as far as the kernel knows: what is pushed now can still be read.
-  [[nodiscard]] bool listens() const { return !over_ && !retiring_ && !fd_.far_end_closed(); }
+  [[nodiscard]] bool listens() const { return !retiring_ && !answering_ && reachable(); }
+  // Its far end has not closed, as far as the kernel knows, whether or not the loop has noticed.
+  [[nodiscard]] bool reachable() const { return !over_ && !fd_.far_end_closed(); }
 
   void turn(bool ready) final;
 
@@ -70,19 +72,28 @@
   virtual void late() {}
   // Nothing has come for so long; asked again after as long.
   virtual Next quiet() { return Next::more; }
-  // After the last read, with the set-ups that were open here.
+  // Once, with the set-ups that are open here: the far end has closed, or nothing more is read or answered.
   virtual void left(const std::set<CallId>& open) = 0;
+  // Whether set-ups that are open get their answers before the connection ends, where its far end has closed
+  // its own way only, or was not understood. Else they are left with the last read.
+  [[nodiscard]] virtual bool answers_open() const { return false; }
 
   void whole();    // a message was taken off the buffer
   Next hang_up();  // the last answer is queued: what the peer still sends is dropped, so that it arrives
   Buffer buffer_;
 
  private:
-  // reading, writing what is queued, dropping what still comes after a hang-up, and over.
-  enum class Stage { reading, writing, draining, over };
+  // reading, answering what is open with no more read, writing what is queued, dropping what still comes
+  // after a hang-up, and over.
+  enum class Stage { reading, answering, writing, draining, over };
   void read();
+  void read_rest();
   [[nodiscard]] bool may_close() const;
   void end_reading(End why);
+  void answer_open();
+  void abandon_open(End why);
+  void tell_left();
+  bool drop_input();
   void finish_writing(Outbox::Flushed how);
   void drain();
   void end();
@@ -104,12 +115,15 @@
   Time drained_by_ = kNever;
   std::size_t drained_ = 0;
   bool drains_ = false;
+  bool left_told_ = false;
 
   mutable std::mutex lock_;
   std::set<CallId> open_;
   std::set<CallId> standing_;
   std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
   std::atomic<bool> retiring_{false};
+  std::atomic<bool> answering_{
+      false};  // set before open_ is looked at, so that its last answer wakes the loop
   enum class Closing { no, when_idle, now };
   std::atomic<Closing> closing_{Closing::no};
   std::atomic<bool> over_{false};
--- /dev/null
+++ b/src/net/peer_ending.cpp
@@ -0,0 +1,98 @@
+// How an accepted connection ends: what is open on it is answered or left, its last answers are written, and
+// what still comes is dropped until the far end has closed.
+#include <sys/socket.h>
+
+#include <cerrno>
+
+#include "net/peer.h"
+
+namespace reeltack::net {
+namespace {
+
+// What a peer still sends after its last answer is read and dropped within these bounds.
+constexpr Duration kDrain = std::chrono::seconds(1);
+constexpr std::size_t kMostDrained = std::size_t{64} * 1024 * 1024;
+
+}  // namespace
+
+void Peer::end_reading(End why) {
+  if (!answers_open() || why == End::room || why == End::cut || why == End::unread) return abandon_open(why);
+  why_ = why;
+  stage_ = Stage::answering;
+  answering_ = true;
+  if (why == End::peer) tell_left();
+}
+
+// Nothing more is taken in; the connection ends with the last answer that is owed on it.
+void Peer::answer_open() {
+  bool open = false;
+  {
+    const std::lock_guard hold(lock_);
+    open = !open_.empty();
+  }
+  if (open) {
+    if (!left_told_ && drop_input()) tell_left();
+    return;
+  }
+  tell_left();
+  stage_ = Stage::writing;
+  outbox_.finish();
+}
+
+void Peer::abandon_open(End why) {
+  if (stage_ == Stage::reading) why_ = why;
+  stage_ = Stage::writing;
+  outbox_.finish();
+  tell_left();
+  const std::lock_guard hold(lock_);
+  open_.clear();
+}
+
+void Peer::tell_left() {
+  if (std::exchange(left_told_, true)) return;
+  std::set<CallId> open;
+  {
+    const std::lock_guard hold(lock_);
+    open = open_;
+  }
+  left(open);
+}
+
+void Peer::finish_writing(Outbox::Flushed how) {
+  if (how == Outbox::Flushed::broken) return end();
+  if (how != Outbox::Flushed::done) return;
+  // The peer may still be sending: closing the other way too would have it reset, and the last answer lost.
+  fd_.shut_write();
+  if (!drains_) return end();
+  stage_ = Stage::draining;
+  drained_by_ = now() + kDrain;
+}
+
+// Reads and drops what has come; true: the far end has closed, or has sent more than is dropped for it.
+bool Peer::drop_input() {
+  constexpr std::size_t kStep = std::size_t{256} * 1024;
+  for (;;) {
+    // TCP drops the bytes itself where it is told to truncate: no memory, and no copy.
+    const ssize_t n = ::recv(fd_.get(), nullptr, kStep, MSG_TRUNC | MSG_DONTWAIT);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return false;
+    if (n <= 0) return true;
+    drained_ += static_cast<std::size_t>(n);
+    if (drained_ >= kMostDrained) return true;
+  }
+}
+
+void Peer::drain() {
+  if (drop_input() || now() >= drained_by_) end();
+}
+
+void Peer::end() {
+  stage_ = Stage::over;
+  outbox_.abandon();
+  loop_->unwatch(fd_);
+  loop_->remove(id_);
+  over_ = true;
+  if (ended_) ended_(*this);
+}
+
+}  // namespace reeltack::net
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -51,8 +51,9 @@
   if (message.method.empty()) return heard(from, message), true;
   if (message.method == "ACK") return true;  // nothing to do
   if (message.method == "OPTIONS") {
-    return core_.ready() ? from->push(sip_answer(200, "OK", message.echoed()))
-                         : from->push(sip_answer(503, "Service Unavailable", message.echoed()));
+    from->push(core_.ready() ? sip_answer(200, "OK", message.echoed())
+                             : sip_answer(503, "Service Unavailable", message.echoed()));
+    return true;
   }
   const std::string* id = message.header("Call-ID");
   const auto call = id == nullptr ? std::nullopt : net::parse_hex16(*id);
@@ -68,7 +69,8 @@
     core_.release(CallId{*call}, *this);
     return true;
   }
-  return from->push(sip_answer(501, "Not Implemented", message.echoed()));
+  from->push(sip_answer(501, "Not Implemented", message.echoed()));
+  return true;
 }
 
 void SipFront::take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message,
@@ -106,33 +108,57 @@
   }
   request.description = message.body;
   request.side = this;
+  if (open_dialogue(from, message, call)) core_.request(std::move(request));
+}
+
+bool SipFront::open_dialogue(const std::shared_ptr<SipConnection>& from, const SipMessage& message,
+                             CallId call) {
+  const std::string& subject = *message.header("Subject");
+  const std::lock_guard hold(lock_);
+  const auto [place, fresh] = dialogues_.try_emplace(call);
+  Dialogue& d = place->second;
+  if (fresh) {
+    d.uri = message.uri;
+    d.subject = subject;
+    d.description = message.body;
+  } else if (d.answered || d.uri != message.uri || d.subject != subject || d.description != message.body) {
+    // Another set-up under the id of an open call: it must get neither that call's answer nor its place.
+    from->push(sip_answer(482, "Loop Detected", message.echoed()));
+    return false;
+  } else if (std::any_of(d.askers.begin(), d.askers.end(),
+                         [&from](const Asker& a) { return a.connection.lock() == from; })) {
+    return false;
+  }
+  // The same set-up once more crossed a close of ours, or is hedged: its one answer is owed here now.
+  d.askers.push_back({from, message.echoed()});
+  from->opened(call);
+  return fresh;
+}
+
+// The call is given up with the last connection on which its set-up came.
+void SipFront::asker_left(SipConnection& from, CallId call) {
   {
     const std::lock_guard hold(lock_);
-    const auto [place, fresh] = dialogues_.try_emplace(call);
-    Dialogue& d = place->second;
-    if (fresh) {
-      d.connection = from;
-      d.echoed = message.echoed();
-      d.uri = message.uri;
-      d.subject = *subject;
-      d.description = message.body;
-    } else if (d.answered || d.uri != message.uri || d.subject != *subject || d.description != message.body) {
-      // Another set-up under the id of an open call: it must get neither that call's answer nor its place.
-      from->push(sip_answer(482, "Loop Detected", message.echoed()));
-      return;
-    } else {
-      // The same set-up once more: it crossed a close of ours, and its answer is owed here now.
-      const auto before = d.connection.lock();
-      if (before == from) return;
-      if (before) before->closed(call);  // its end must not give the call up
-      d.connection = from;
-      d.echoed = message.echoed();
-      from->opened(call);
+    const auto found = dialogues_.find(call);
+    if (found == dialogues_.end()) return;
+    std::vector<Asker>& askers = found->second.askers;
+    const bool others = std::any_of(askers.begin(), askers.end(), [&from](const Asker& a) {
+      const auto connection = a.connection.lock();
+      return connection && connection.get() != &from && connection->reachable();
+    });
+    if (others) {
+      std::erase_if(askers, [&from](const Asker& a) { return a.connection.lock().get() == &from; });
+      from.closed(call);
       return;
     }
   }
-  from->opened(call);
-  core_.request(std::move(request));
+  core_.give_up(call, *this);
+}
+
+bool SipFront::waits(CallId call) {
+  const std::lock_guard hold(lock_);
+  const auto found = dialogues_.find(call);
+  return found != dialogues_.end() && last_reachable(found->second) != nullptr;
 }
 
 bool SipFront::stands(CallId call, const std::string& description) {
@@ -140,16 +166,23 @@
   const auto found = dialogues_.find(call);
   if (found == dialogues_.end()) return false;
   Dialogue& d = found->second;
+  // A caller that has closed, noticed or not, has given the call up: it would never end what stands.
+  const Asker* reachable = last_reachable(d);
+  const Asker asker = reachable == nullptr ? d.askers.back() : *reachable;
+  const auto connection = asker.connection.lock();
+  const bool told = reachable != nullptr && connection &&
+                    connection->push(sip_answer(200, "OK", asker.echoed, "", description));
+  if (!told && connection) connection->push(sip_answer(487, "Request Terminated", asker.echoed));
+  if (told) connection->stood(call);
+  close_askers(d, call, told ? connection : nullptr);
+  if (!told) {
+    dialogues_.erase(found);
+    return false;
+  }
   d.answered = true;
   d.description = {};
-  const auto connection = d.connection.lock();
-  if (connection && connection->push(sip_answer(200, "OK", d.echoed, "", description))) {
-    connection->stood(call);
-    return true;
-  }
-  if (connection) connection->closed(call);
-  dialogues_.erase(found);
-  return false;
+  d.askers = {asker};
+  return true;
 }
 
 void SipFront::refused(CallId call, core::Why why, Duration later) {
@@ -158,7 +191,11 @@
   if (found == dialogues_.end()) return;
   const Dialogue d = std::move(found->second);
   dialogues_.erase(found);
-  const auto connection = d.connection.lock();
+  // With more than one, the last that can be reached; a far end that closed its own way only reads it as
+  // well.
+  const Asker* reachable = d.askers.size() > 1 ? last_reachable(d) : nullptr;
+  const Asker& asker = reachable == nullptr ? d.askers.back() : *reachable;
+  const auto connection = asker.connection.lock();
   if (!connection) return;
   std::string advice;
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(later).count();
@@ -171,16 +208,32 @@
                   {482, "Loop Detected"},         {488, "Not Acceptable Here"},
                   {487, "Request Terminated"}};
   const auto& a = kAnswers[static_cast<std::size_t>(why)];
-  connection->push(sip_answer(a.status, a.reason, d.echoed, advice));
-  connection->closed(call);  // only now: a connection without an open set-up may end at any time
+  connection->push(sip_answer(a.status, a.reason, asker.echoed, advice));
+  close_askers(d, call);  // only now: a connection without an open set-up may end at any time
 }
 
 void SipFront::over(CallId call) {
   const std::lock_guard hold(lock_);
   const auto found = dialogues_.find(call);
   if (found == dialogues_.end()) return;
-  if (const auto connection = found->second.connection.lock()) connection->closed(call);
+  close_askers(found->second, call);
   dialogues_.erase(found);
 }
 
+const SipFront::Asker* SipFront::last_reachable(const Dialogue& dialogue) {
+  const auto found = std::find_if(dialogue.askers.rbegin(), dialogue.askers.rend(), [](const Asker& a) {
+    const auto connection = a.connection.lock();
+    return connection && connection->reachable();
+  });
+  return found == dialogue.askers.rend() ? nullptr : &*found;
+}
+
+void SipFront::close_askers(const Dialogue& dialogue, CallId call,
+                            const std::shared_ptr<SipConnection>& except) {
+  for (const Asker& asker : dialogue.askers) {
+    const auto connection = asker.connection.lock();
+    if (connection && connection != except) connection->closed(call);
+  }
+}
+
 }  // namespace reeltack::platform
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -32,12 +32,18 @@
   void refused(CallId call, core::Why why, Duration later) override;
   void released(CallId call, int cause) override;
   void over(CallId call) override;
+  bool waits(CallId call) override;
 
  private:
   friend class SipConnection;
-  struct Dialogue {
+  // A connection on which a set-up came, and the headers of it that its answer repeats.
+  struct Asker {
     std::weak_ptr<SipConnection> connection;
     std::string echoed;
+  };
+  struct Dialogue {
+    // One at the least; more where the set-up came again. The last that can be reached gets the one answer.
+    std::vector<Asker> askers;
     std::string uri;
     std::string subject;
     std::string description;  // until the answer: a repeat must carry the same
@@ -50,6 +56,12 @@
   bool take(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
   void heard(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
   void take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
+  // False: the same set-up is open here already, or this answers the one that came.
+  bool open_dialogue(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
+  void asker_left(SipConnection& from, CallId call);
+  static const Asker* last_reachable(const Dialogue& dialogue);  // or none
+  static void close_askers(const Dialogue& dialogue, CallId call,
+                           const std::shared_ptr<SipConnection>& except = nullptr);
 
   core::Core& core_;
   const std::vector<std::string> class_names_;
--- a/src/platform/sip_connection.h
+++ b/src/platform/sip_connection.h
@@ -37,9 +37,8 @@
         return hang_up();
       }
       whole();
-      if (front_.take(self, message)) continue;
-      push(sip_answer(400, "Bad Request", message.echoed()));
-      return hang_up();
+      // Where it ends is known, so that what follows is understood.
+      if (!front_.take(self, message)) push(sip_answer(400, "Bad Request", message.echoed()));
     }
   }
   void late() override {
@@ -47,9 +46,10 @@
     hang_up();
   }
   void left(const std::set<CallId>& open) override {
-    for (const CallId call : open) front_.core_.give_up(call, front_);  // nobody is left to answer
+    for (const CallId call : open) front_.asker_left(*this, call);
     front_.unheard(*this);
   }
+  [[nodiscard]] bool answers_open() const override { return true; }
 
  private:
   friend class SipFront;
--- a/src/platform/sip_releases.cpp
+++ b/src/platform/sip_releases.cpp
@@ -50,7 +50,7 @@
   std::string bye = "BYE " + d.uri + " SIP/2.0\r\nVia: SIP/2.0/TCP controller\r\nCall-ID: " + id +
                     "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) +
                     "\r\nContent-Length: 0\r\n\r\n";
-  const auto own = d.connection.lock();
+  const auto own = d.askers.empty() ? nullptr : d.askers.back().connection.lock();
   const bool told = own && tell_over(*own, call, bye);
   if (own) own->closed(call);
   if (told) return;
--- /dev/null
+++ b/tests/crossings/connection_test.cpp
@@ -0,0 +1,250 @@
+// A listener's connections, stepped by hand: what crosses their ends, from the far side and from ours.
+#include <atomic>
+#include <future>
+
+#include "net/door.h"
+#include "tcp_pair.h"
+
+namespace reeltack::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Answers each line by itself, and notes what was open when it was told that the far end left.
+class EchoPeer final : public net::Peer {
+ public:
+  EchoPeer(net::Fd fd, bool answers_open) : net::Peer(std::move(fd)), answers_open_(answers_open) {}
+  int lines = 0;
+  int lefts = 0;
+  std::set<CallId> open_at_leaving;
+
+ protected:
+  Next received() override {
+    for (;;) {
+      const std::size_t end = buffer_.view().find('\n');
+      if (end == std::string_view::npos) return Next::more;
+      const std::string line(buffer_.view().substr(0, end + 1));
+      buffer_.take(end + 1);
+      whole();
+      ++lines;
+      push(line);
+      if (line == "bad\n") return hang_up();
+    }
+  }
+  void late() override {
+    push("late\n");
+    hang_up();
+  }
+  void left(const std::set<CallId>& open) override {
+    ++lefts;
+    open_at_leaving = open;
+  }
+  [[nodiscard]] bool answers_open() const override { return answers_open_; }
+
+ private:
+  const bool answers_open_;
+};
+
+// One connection whose loop has not begun to run.
+struct Connection {
+  explicit Connection(bool answers_open = true) {
+    TcpPair pair;
+    near_fd = pair.near.get();
+    far = std::move(pair.far);
+    near = std::make_shared<EchoPeer>(std::move(pair.near), answers_open);
+    near->begin(loop, [this](net::Peer&) { over = true; });
+  }
+  void send(const std::string& text) const {
+    ASSERT_TRUE(net::write_all(far, text));
+    ASSERT_TRUE(await_unread());
+  }
+  [[nodiscard]] bool await_unread() const {
+    return await_kernel([this] {
+      char byte = 0;
+      return ::recv(near_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+    });
+  }
+  void close_far() {
+    far.reset();
+    ASSERT_TRUE(await_kernel([this] { return !near->reachable(); }));
+  }
+  // What the far end reads up to the end of the connection.
+  [[nodiscard]] std::string read_to_end() const {
+    std::string out;
+    char chunk[256];
+    for (;;) {
+      const ssize_t n = ::recv(far.get(), chunk, sizeof chunk, 0);
+      if (n <= 0) return out + (n == 0 ? "|end" : "|reset");
+      out.append(chunk, static_cast<std::size_t>(n));
+    }
+  }
+  net::Loop loop;
+  net::Fd far;
+  int near_fd = -1;
+  std::shared_ptr<EchoPeer> near;
+  bool over = false;
+};
+
+// Where the processor is short, the loop comes to a message after its time is up: it came in time.
+TEST(ConnectionCrossings, MessageThatLiesUnreadAtItsTimeLimitIsNotLate) {
+  Connection first, rest, half;
+  ASSERT_TRUE(net::write_all(rest.far, "begun "));
+  ASSERT_TRUE(rest.await_unread());
+  rest.near->turn(true);
+  first.send("first\n");
+  rest.send("and whole\n");
+  half.send("half");
+  net::pause_until(net::now() + 2100ms);  // the limit is 2 s
+  for (Connection* c : {&first, &rest, &half}) c->near->turn(false);
+  EXPECT_EQ(first.near->lines, 1);
+  EXPECT_EQ(rest.near->lines, 1);
+  EXPECT_FALSE(first.over || rest.over);
+  EXPECT_EQ(half.near->lines, 0);  // its time runs from its first byte that was read
+  EXPECT_FALSE(half.over);
+}
+
+TEST(ConnectionCrossings, ConnectionThatSaidNothingInTimeIsLateStill) {
+  Connection silent, half;
+  half.send("half");
+  half.near->turn(true);
+  net::pause_until(net::now() + 2100ms);
+  silent.near->turn(false);
+  half.near->turn(false);
+  EXPECT_EQ(silent.near->why(), net::Peer::End::late);
+  EXPECT_EQ(half.near->why(), net::Peer::End::late);
+}
+
+// What is open is answered first; a connection that can't answer is left at once.
+TEST(ConnectionCrossings, HalfCloseWithAnOpenSetUpWaitsForItsAnswer) {
+  Connection c;
+  c.near->opened(CallId{1});
+  ASSERT_EQ(::shutdown(c.far.get(), SHUT_WR), 0);
+  ASSERT_TRUE(await_kernel([&] { return !c.near->reachable(); }));
+  c.near->turn(true);
+  EXPECT_EQ(c.near->open_at_leaving, std::set{CallId{1}});
+  EXPECT_FALSE(c.over);
+  EXPECT_FALSE(c.near->listens());
+  EXPECT_EQ(c.near->spare(), net::Peer::Spare::kept);
+  ASSERT_TRUE(c.near->push("refused\n"));
+  c.near->closed(CallId{1});
+  c.near->turn(false);
+  EXPECT_TRUE(c.over);
+  EXPECT_EQ(c.near->lefts, 1);
+  EXPECT_EQ(c.read_to_end(), "refused\n|end");
+}
+
+TEST(ConnectionCrossings, FrontThatDoesNotAnswerAfterTheEndLeavesAtOnce) {
+  Connection c(false);
+  c.near->opened(CallId{1});
+  c.close_far();
+  c.near->turn(true);
+  EXPECT_EQ(c.near->open_at_leaving, std::set{CallId{1}});
+  EXPECT_TRUE(c.over);
+}
+
+TEST(ConnectionCrossings, BytesBehindAMisunderstoodMessageAreDroppedUntilItsCallsAreAnswered) {
+  Connection c;
+  c.near->opened(CallId{1});
+  c.send("bad\nnever read\n");
+  c.near->turn(true);
+  EXPECT_EQ(c.near->lines, 1);
+  EXPECT_EQ(c.near->lefts, 0);
+  ASSERT_TRUE(c.near->push("answer\n"));
+  c.near->closed(CallId{1});
+  c.near->turn(false);
+  EXPECT_FALSE(c.over);  // it drops what still comes, so that its answers arrive
+  ASSERT_EQ(::shutdown(c.far.get(), SHUT_WR), 0);
+  ASSERT_TRUE(await_kernel([&] {
+    c.near->turn(true);
+    return c.over;
+  }));
+  EXPECT_EQ(c.read_to_end(), "bad\nanswer\n|end");
+}
+
+// A far end that reads nothing and resets, while nothing of it is read because its answers pile up.
+TEST(ConnectionCrossings, ResetWhileNothingIsReadIsNoticed) {
+  Connection c;
+  const std::string line = std::string(8000, 'x') + "\n";
+  for (int n = 0; n < 2000 && ::send(c.far.get(), line.data(), line.size(), MSG_DONTWAIT) > 0; ++n)
+    c.near->turn(true);
+  ASSERT_TRUE(c.near->behind());
+  c.near->opened(CallId{1});
+  reset(c.far);
+  ASSERT_TRUE(await_kernel([&] { return !c.near->reachable(); }));
+  c.near->turn(true);
+  EXPECT_TRUE(c.over);
+  EXPECT_EQ(c.near->open_at_leaving, std::set{CallId{1}});
+}
+
+// What comes after a close of ours is not read, and so never taken; the far end sees the close.
+TEST(ConnectionCrossings, MessageBehindOurOwnCloseIsNotTaken) {
+  Connection idle, resting;
+  for (Connection* c : {&idle, &resting}) {
+    c->send("served\n");
+    c->near->turn(true);
+  }
+  idle.near->retire();
+  ASSERT_TRUE(idle.near->retiring());
+  static_cast<void>(net::write_all(idle.far, "crossed\n"));
+  idle.near->turn(true);
+  resting.near->close(false);
+  resting.near->turn(false);
+  static_cast<void>(net::write_all(resting.far, "crossed\n"));
+  for (Connection* c : {&idle, &resting}) {
+    EXPECT_TRUE(c->over);
+    EXPECT_EQ(c->near->lines, 1);
+    EXPECT_EQ(c->read_to_end().rfind("served\n|", 0), 0U);  // the answer before is not lost
+  }
+}
+
+// What came before the close is answered first.
+TEST(ConnectionCrossings, MessageBeforeOurOwnCloseIsAnsweredFirst) {
+  Connection idle, resting;
+  for (Connection* c : {&idle, &resting}) {
+    c->send("served\n");
+    c->near->turn(true);
+    c->send("before\n");
+  }
+  idle.near->retire();
+  EXPECT_FALSE(idle.near->retiring());  // kept: it has said what is not yet read
+  resting.near->close(false);
+  resting.near->turn(false);
+  EXPECT_FALSE(resting.over);
+  resting.near->turn(true);
+  EXPECT_EQ(resting.near->lines, 2);
+  EXPECT_TRUE(resting.over);
+  EXPECT_EQ(resting.read_to_end(), "served\nbefore\n|end");
+}
+
+// The loop is held as it lets the first one in: the others lie in the kernel's queue, with their requests, as
+// the listener is closed.
+TEST(ConnectionCrossings, RequestsInTheAcceptQueueAtTheListenersCloseAreAnswered) {
+  constexpr std::uint16_t kPort = 24931;
+  std::promise<void> go;
+  std::atomic<bool> held{false};
+  net::Door door(1000, [&, wait = go.get_future().share()](net::Fd fd) {
+    held = true;
+    wait.wait();
+    return std::make_shared<EchoPeer>(std::move(fd), true);
+  });
+  door.open({"127.0.0.1", kPort});
+  std::vector<net::Fd> callers;
+  const auto call = [&] {
+    callers.push_back(net::dial({"127.0.0.1", kPort}, net::now() + 20s).fd);
+    ASSERT_TRUE(net::write_all(callers.back(), "request\n"));
+  };
+  call();
+  ASSERT_TRUE(await_kernel([&] { return held.load(); }));
+  for (int n = 0; n < 200; ++n) call();  // more than are let in at a time
+  std::thread closer([&] { door.close_idle(); });
+  go.set_value();
+  closer.join();
+  for (const net::Fd& caller : callers) {
+    char answer[8];
+    EXPECT_EQ(::recv(caller.get(), answer, sizeof answer, MSG_WAITALL), 8);
+  }
+  door.close_all();
+}
+
+}  // namespace
+}  // namespace reeltack::test
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -318,6 +318,10 @@
     d send INVITE #2 Subject:unheard X-Patience:900 | d
     d expect 488 #2
     d send INVITE nonsense Subject:voice X-Patience:900
+    d expect 400 nonsense
+    d send INVITE #3 Subject:voice X-Patience:0 | behind one that can't be matched
+    d expect 408 #3
+    d raw 58 0d 0a 0d 0a
     d expect 400
     d expect end
   )");
