Take the instants of an orderly end from the deadlines, short ones too

Observed: with a longest deadline of 400 ms, src/main.cpp answer_all() refused what was left at 0.75 s after SIGTERM, went on until 1.5 s because `closing` was set at no other time, and so stood in the way of the kill at 1.1 s. With one under 250 ms it refused and closed before the last request may come (0.6 s). Change: src/limits/shutdown.h, without I/O, gives the two instants: idle connections are closed no later than what is left is refused, and that not before 0.65 s. With the deadlines of the scenarios (9 s) they are as before, 1.5 s and 3.35 s.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -19,6 +19,7 @@
 #include "core/office_list.h"
 #include "dns/updates.h"
 #include "fleet/service/service.h"
+#include "limits/shutdown.h"
 #include "mgmt/server.h"
 #include "platform/bulletin.h"
 #include "platform/offices.h"
@@ -31,13 +32,6 @@
 using namespace std::chrono_literals;
 using namespace reeltack;
 
-// After SIGTERM, callers may still connect for 0.4 s and send for 0.2 s more; where the processor is short,
-// what they send may be read much later.
-constexpr Duration kStillTaking = 1500ms;
-// The kill follows the longest deadline, counted as this where it is longer, by 0.7 s: before that, what
-// still waits is refused, for a call that the kill finds unanswered is lost.
-constexpr Duration kLongestCounted = 3s;
-constexpr Duration kBeforeKilled = 350ms;
 // Usual callers hold a third of the descriptors at the most; after SIGTERM a successor shares the limit.
 constexpr std::size_t kYieldedShare = 3;
 // The list that the configuration holds is the module's so soon, whatever the load.
@@ -92,17 +86,16 @@
 void answer_all(core::Core& core, const Settings& settings, platform::SipFront& sip) {
   Duration longest{};
   for (const ClassSettings& c : settings.classes) longest = std::max(longest, c.deadline);
-  const Time asked = net::now();
-  const Time last = asked + std::min(longest, kLongestCounted) + kBeforeKilled;
+  const limits::ShutdownTimes times = limits::shutdown_times(net::now(), longest);
   bool closing = false;
   // A step is short, so that the end follows soon after the last answer.
   while (!closing || !sip.closed() || core.open_calls() > 0) {
     const Time at = net::now();
-    if (!closing && at >= asked + kStillTaking) {
+    if (!closing && at >= times.close_idle) {
       closing = true;
       sip.close_idle();
     }
-    if (at >= last) {
+    if (at >= times.refuse_rest) {
       core.refuse_all();
       sip.close_now();
     }
