--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -157,7 +157,9 @@
   std::vector<std::string> out;
   if (running.name != read.name) out.emplace_back("name");
   if (text(running.listen) != text(read.listen)) out.emplace_back("listen");
-  if (running.limits.memory_mb != read.limits.memory_mb || running.limits.sockets != read.limits.sockets)
+  if (text(running.mgmt) != text(read.mgmt)) out.emplace_back("mgmt");
+  if (running.limits.cores != read.limits.cores || running.limits.memory_mb != read.limits.memory_mb ||
+      running.limits.sockets != read.limits.sockets)
     out.emplace_back("limits");
   if (running.settings_text != read.settings_text) out.emplace_back("settings");
   return out;
