--- a/src/mgmt/server.cpp
+++ b/src/mgmt/server.cpp
@@ -15,10 +15,12 @@
   std::string bytes;
 };
 
-// Without waiting; a short answer always fits into a fresh socket's buffer.
-void say(const net::Fd& fd, const std::string& text) {
-  (void)net::sys::send(fd.get(), text.data(), text.size());
-}
+// A short answer always fits into a fresh socket's buffer, so that nothing is waited for but a want of
+// memory.
+constexpr Duration kSaid = std::chrono::milliseconds(20);
+constexpr std::chrono::milliseconds kRoomAwaited{5};
+
+void say(const net::Fd& fd, const std::string& text) { net::write_all(fd, text, net::now() + kSaid); }
 
 }  // namespace
 
@@ -37,10 +39,13 @@
   constexpr int kLook = 100;  // ms: how soon a close is seen, and an idle limit kept
   std::vector<Caller> callers;
   std::vector<pollfd> polled;
+  Time room_by{};  // until then nobody is let in
   while (!stopping_) {
     polled.assign(1, pollfd{listener_.get(), POLLIN, 0});
     for (const Caller& c : callers) polled.push_back({c.fd.get(), POLLIN, 0});
-    net::sys::poll(polled.data(), polled.size(), kLook);
+    if (net::now() < room_by) polled[0].fd = -1;  // left out
+    net::poll_some(polled.data(), polled.size(),
+                   polled[0].fd < 0 ? static_cast<int>(kRoomAwaited.count()) : kLook);
     const Time now = net::now();
     // Callers first, so that a place freed now is free for the listener below.
     for (std::size_t i = callers.size(); i-- > 0;) {
@@ -49,7 +54,7 @@
       if ((polled[i + 1].revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
         char chunk[512];
         const ssize_t n = net::sys::recv(c.fd.get(), chunk, sizeof chunk);
-        if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR)) {
+        if (n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR && errno != ENOBUFS && errno != ENOMEM)) {
           over = true;  // gone before its line was whole
         } else if (n > 0) {
           c.bytes.append(chunk, static_cast<std::size_t>(n));
@@ -73,8 +78,11 @@
     }
     if ((polled[0].revents & POLLIN) == 0) continue;
     for (int taken = 0; taken < 16; ++taken) {  // a few a turn, so that a flood cannot starve the callers
-      net::Fd fd(net::sys::accept4(listener_.get(), SOCK_CLOEXEC | SOCK_NONBLOCK));
-      if (!fd) break;
+      net::Accepted next = net::accept_now(listener_);
+      if (next.how == net::Accepted::How::shortage) room_by = now + kRoomAwaited;
+      if (next.how == net::Accepted::How::lost) continue;
+      if (!next.fd) break;
+      net::Fd fd = std::move(next.fd);
       if (callers.size() >= kMostCallers) {
         say(fd, "ERR busy: " + std::to_string(kMostCallers) + " callers already\n");
         ++counts_.refused;
--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -9,6 +9,11 @@
 namespace reeltack::net {
 namespace {
 
+// Nothing can be moved now, and the connection is sound.
+bool is_for_now(int error) {
+  return error == EAGAIN || error == EWOULDBLOCK || error == ENOBUFS || error == ENOMEM;
+}
+
 constexpr Duration kUnread = std::chrono::seconds(2);  // of one message that a peer does not read
 
 }  // namespace
@@ -35,7 +40,7 @@
   do {
     n = sys::recv(from.get(), data_.data() + to_, data_.size() - to_);
   } while (n < 0 && errno == EINTR);
-  if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return Got::late;
+  if (n < 0 && is_for_now(errno)) return Got::late;
   if (n <= 0) return Got::closed;
   to_ += static_cast<std::size_t>(n);
   return Got::data;
@@ -70,7 +75,7 @@
   while (written < leaving_.size()) {
     const ssize_t n = sys::send(to.get(), leaving_.data() + written, leaving_.size() - written);
     if (n < 0 && errno == EINTR) continue;
-    sound = n > 0 || errno == EAGAIN || errno == EWOULDBLOCK;
+    sound = n > 0 || is_for_now(errno);
     if (n <= 0) break;
     written += static_cast<std::size_t>(n);
   }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -1,7 +1,6 @@
 #include "net/door.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <tuple>
 #include <vector>
 
@@ -11,6 +10,8 @@
 constexpr Duration kLook = std::chrono::milliseconds(5);
 // Those over the limit that may wait while idle ones are asked to end.
 constexpr std::size_t kOverflow = 32;
+// At the end, for those that are in the listener's queue while there is no room for them.
+constexpr Duration kTakenIn = std::chrono::milliseconds(250);
 constexpr int kMostAtOnce = 32;  // accepted in a turn, so that a flood does not keep the others waiting
 
 }  // namespace
@@ -23,7 +24,8 @@
   Fd fd;
   Loop::Id id = 0;
   std::atomic<bool> closing{false};
-  bool closed = false;  // with the door's lock
+  Time closes_by = kNever;  // once it is closing
+  bool closed = false;      // with the door's lock
 
  private:
   Door& door_;
@@ -36,11 +38,17 @@
   listener_ = std::make_shared<Listener>(*this, listen_on(at));
   loop_ = std::make_unique<Loop>();
   listener_->id = loop_->add(listener_);
-  loop_->start();
+  try {
+    loop_->start();
+  } catch (...) {  // nothing would ever close what never ran
+    loop_.reset();
+    listener_.reset();
+    throw;
+  }
 }
 void Door::yield(std::size_t most) {
   if (!listener_) return;
-  yield_port(listener_->fd);
+  if (!yield_port(listener_->fd)) log_line("the port can't be yielded: new connections still come here too");
   most_ = std::min(most, most_.load());
   loop_->wake(listener_->id);  // its turn makes room
 }
@@ -81,23 +89,24 @@
 void Door::accept_some(Listener& listener) {
   if (!listener.fd) return;
   const bool closing = listener.closing;
+  if (closing && listener.closes_by == kNever) listener.closes_by = now() + kTakenIn;
   // Whoever the kernel has let in already may have sent a request, and closing the listener would reset it:
   // at the end all are taken in, at once.
   bool waits = false;
-  for (int n = 0; closing || n < kMostAtOnce; ++n) {
+  bool none = false;
+  for (int n = 0; closing ? now() < listener.closes_by : n < kMostAtOnce; ++n) {
     if (!closing && !place()) {  // those that wait stay in the listener's queue
       waits = true;
       break;
     }
-    errno = 0;
-    Fd fd = accept_one(listener.fd, Time{});
-    if (!fd) {
-      waits = errno == EMFILE || errno == ENFILE;  // would come back at once, in vain
-      break;
-    }
-    admit(std::move(fd));
+    Accepted next = accept_now(listener.fd);
+    if (next.how == Accepted::How::up) admit(std::move(next.fd));
+    waits = next.how == Accepted::How::shortage;  // would come back at once, in vain
+    // At the end one answer is not enough: what closes under them is lost.
+    const bool before = std::exchange(none, next.how == Accepted::How::none);
+    if (waits || (none && (before || !closing))) break;
   }
-  if (!closing) {
+  if (!closing || (waits && now() < listener.closes_by)) {
     loop_->watch(listener.id, listener.fd, !waits, false);
     loop_->due(listener.id, waits ? now() + kLook : kNever);
     return;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,6 +11,10 @@
 
 constexpr Loop::Id kBell = 0;  // of the loop's own descriptor; watched things count from 1
 constexpr int kBatch = 64;
+// So soon a descriptor is looked at again that the kernel had no room to watch.
+constexpr Duration kWatchAgain = std::chrono::milliseconds(10);
+// A wake whose bell could not be rung is found so late at the most.
+constexpr std::int64_t kLongestWait = 1000;  // ms
 
 void count(std::atomic<std::uint64_t>& counter) { counter.fetch_add(1, std::memory_order_relaxed); }
 
@@ -62,7 +66,8 @@
   if (!ring) return;
   count(counts_.rings);
   const std::uint64_t one = 1;
-  static_cast<void>(!sys::write(bell_.get(), &one, sizeof one));
+  // EAGAIN: it has rung and was not heard yet.
+  while (sys::write(bell_.get(), &one, sizeof one) < 0 && errno == EINTR) continue;
 }
 
 void Loop::remove(Id id) {
@@ -83,11 +88,28 @@
   event.data.u64 = id;
   if (interest.events == event.events && interest.id == id) return true;
   count(counts_.controls);
-  const int how = interest.events == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  if (sys::epoll_ctl(epoll_.get(), how, fd.get(), &event) != 0) return false;
+  if (!control(fd, interest.events != 0, event)) {
+    refused(id);
+    return false;
+  }
   interest = {id, event.events};
   return true;
 }
+// Where the kernel knows better than we do whether it watches it, as it says.
+bool Loop::control(const Fd& fd, bool known, epoll_event& event) {
+  const int how = known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+  if (sys::epoll_ctl(epoll_.get(), how, fd.get(), &event) == 0) return true;
+  if (errno != EEXIST && errno != ENOENT) return false;
+  return sys::epoll_ctl(epoll_.get(), known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd.get(), &event) == 0;
+}
+void Loop::refused(Id id) {
+  if (refused_.empty()) refused_due_ = now() + kWatchAgain;
+  if (std::find(refused_.begin(), refused_.end(), id) == refused_.end()) refused_.push_back(id);
+}
+void Loop::give_refused_turns() {
+  if (refused_.empty() || now() < refused_due_) return;
+  for (const Id id : std::exchange(refused_, {})) give_turn(id, true);
+}
 void Loop::unwatch(const Fd& fd) {
   const auto place = static_cast<std::size_t>(fd.get());
   if (!fd || place >= interests_.size() || interests_[place].events == 0) return;
@@ -111,9 +133,11 @@
 // In milliseconds, rounded up; -1: for ever.
 int Loop::span_of_wait(bool work) const {
   if (work) return 0;
-  if (dues_.empty()) return -1;
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(dues_.begin()->first - now()).count();
-  return static_cast<int>(std::clamp<std::int64_t>(left, 0, 3600'000));
+  Time at = dues_.empty() ? kNever : dues_.begin()->first;
+  if (!refused_.empty()) at = std::min(at, refused_due_);
+  if (at == kNever) return kLongestWait;
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(at - now()).count();
+  return static_cast<int>(std::clamp<std::int64_t>(left, 0, kLongestWait));
 }
 
 void Loop::give_turn(Id id, bool ready) {
@@ -179,6 +203,7 @@
       if (found != entries_.end() && found->second.pass != counts_.passes) give_turn(id, false);
     }
     woken.clear();
+    give_refused_turns();
     take_due();
   }
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -19,6 +19,8 @@
 
 #include "net/net.h"
 
+struct epoll_event;
+
 namespace reeltack::net {
 
 // What a loop watches. A turn may come without a cause: a wake that crossed another turn, or a due time that
@@ -52,7 +54,8 @@
   void remove(Id id);  // its descriptors must be unwatched first
   // Level-triggered. An ended descriptor shows whatever is asked for; one not asked about at all is
   // unwatched. The kernel is asked only where the interest changes, so that a descriptor must be unwatched
-  // before it is closed. False: the kernel has no room for it.
+  // before it is closed. False: the kernel has no room for it now; a turn comes soon, as if the descriptor
+  // were ready, which is to ask for it again.
   bool watch(Id id, const Fd& fd, bool in, bool out);
   void unwatch(const Fd& fd);
   // One time for each; kNever: none. Moving it to later costs nothing: the turn that was due first still
@@ -82,6 +85,9 @@
   void take_due();
   void give_turn(Id id, bool ready);
   void nudge(std::unique_lock<std::mutex> held);
+  bool control(const Fd& fd, bool known, epoll_event& event);
+  void refused(Id id);
+  void give_refused_turns();
 
   Fd epoll_;
   Fd bell_;
@@ -98,6 +104,8 @@
   std::unordered_map<Id, Entry> entries_;
   std::vector<Interest> interests_;  // by descriptor
   Dues dues_;
+  std::vector<Id> refused_;  // whose watch() the kernel had no room for
+  Time refused_due_{};       // by when these get a turn
   Thread thread_;
 };
 
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -11,12 +11,16 @@
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
+#include <thread>
 
 #include "net/system_calls.h"
 
 namespace reeltack::net {
 namespace {
 
+// How soon a call is tried again that failed for want of memory or descriptors.
+constexpr auto kRoomAwaited = std::chrono::milliseconds(1);
+
 // Waits until the descriptor is ready; false at the deadline.
 bool wait_for(int fd, short what, Time deadline) {
   for (;;) {
@@ -28,8 +32,8 @@
     pollfd p{fd, what, 0};
     const int n = sys::poll(&p, 1, wait);
     if (n > 0) return true;
-    if (n < 0 && errno != EINTR) return true;  // the call that follows shows the error
-    if (n == 0 && now() >= deadline) return false;
+    if (n <= 0 && now() >= deadline) return false;
+    if (n < 0 && errno != EINTR) std::this_thread::sleep_for(kRoomAwaited);  // ENOMEM
   }
 }
 
@@ -41,6 +45,12 @@
   return out;
 }
 
+// Of this host, for a moment.
+bool is_shortage(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+}
+
+// Without it answers come later; nothing else depends on it.
 void no_delay(int fd) {
   const int on = 1;
   sys::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -56,7 +66,7 @@
   return *this;
 }
 void Fd::reset() {
-  if (fd_ >= 0) sys::close(fd_);
+  if (fd_ >= 0) sys::close(fd_);  // let go whatever it returns, and so not tried again
   fd_ = -1;
 }
 void Fd::shut() const {
@@ -82,13 +92,19 @@
 Fd dial_begin(const Address& to, Dial& how) {
   how = Dial::failed;
   const auto target = resolve(to);
+  if (!target) return {};
   Fd fd(sys::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-  if (!fd || !target) return {};
+  if (!fd) {
+    if (is_shortage(errno)) how = Dial::shortage;
+    return {};
+  }
   no_delay(fd.get());
   if (sys::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) == 0) {
     how = Dial::up;
-  } else if (errno == EINPROGRESS) {
+  } else if (errno == EINPROGRESS || errno == EINTR) {  // interrupted, it goes on by itself
     how = Dial::pending;
+  } else if (is_shortage(errno) || errno == EADDRNOTAVAIL || errno == EAGAIN || errno == ENETUNREACH) {
+    how = Dial::shortage;
   } else if (errno == ECONNREFUSED) {
     how = Dial::refused;
   }
@@ -98,7 +114,7 @@
   if (!wait_for(fd.get(), POLLOUT, Time{})) return Dial::pending;
   int error = 0;
   socklen_t size = sizeof error;
-  sys::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+  if (sys::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0) return Dial::failed;
   if (error == ECONNREFUSED) return Dial::refused;
   return error == 0 ? Dial::up : Dial::failed;
 }
@@ -127,19 +143,56 @@
   return fd;
 }
 
-void yield_port(const Fd& listener) {
+bool yield_port(const Fd& listener) {
   // Listeners of one port are numbered as they joined, and one that leaves is replaced by the last: the one
   // that is asked to end has number 0. Where there is no number 1, the kernel chooses as without a program.
   sock_filter next[] = {{BPF_RET | BPF_K, 0, 0, 1}};
   const sock_fprog program{1, next};
-  sys::setsockopt(listener.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program);
+  return sys::setsockopt(listener.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program) == 0;
 }
 
-Fd accept_one(const Fd& listener, Time deadline) {
-  if (!wait_for(listener.get(), POLLIN, deadline)) return Fd{};
+Accepted accept_now(const Fd& listener) {
+  using How = Accepted::How;
   Fd fd(sys::accept4(listener.get(), SOCK_CLOEXEC));
-  if (fd) no_delay(fd.get());
-  return fd;
+  if (fd) {
+    no_delay(fd.get());
+    return {How::up, std::move(fd)};
+  }
+  switch (errno) {
+    case EAGAIN:
+      return {};
+    case EINTR:
+    case ECONNABORTED:  // these, by accept(2), are errors of the new connection alone
+    case EPERM:
+    case EPROTO:
+    case ENOPROTOOPT:
+    case EOPNOTSUPP:
+    case ENETDOWN:
+    case ENONET:
+    case ENETUNREACH:
+    case EHOSTDOWN:
+    case EHOSTUNREACH:
+    case ETIMEDOUT:
+      return {How::lost, {}};
+    default:  // EMFILE, ENFILE, ENOBUFS, ENOMEM; what can't be known is not tried at once again either
+      return {How::shortage, {}};
+  }
+}
+
+Fd accept_one(const Fd& listener, Time deadline) {
+  for (;;) {
+    if (!wait_for(listener.get(), POLLIN, deadline)) return Fd{};
+    Accepted next = accept_now(listener);
+    if (next.how == Accepted::How::up) return std::move(next.fd);
+    if (now() >= deadline) return Fd{};
+    if (next.how == Accepted::How::shortage) std::this_thread::sleep_for(kRoomAwaited);
+  }
+}
+
+void poll_some(pollfd* polled, std::size_t count, int milliseconds) {
+  if (sys::poll(polled, count, milliseconds) >= 0) return;
+  for (std::size_t i = 0; i < count; ++i) polled[i].revents = 0;
+  if (errno != EINTR) std::this_thread::sleep_for(kRoomAwaited);  // ENOMEM
 }
 
 void pause_until(Time at) {
@@ -153,6 +206,10 @@
   while (!bytes.empty()) {
     const ssize_t n = sys::send(to.get(), bytes.data(), bytes.size());
     if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && (errno == ENOBUFS || errno == ENOMEM) && now() < by) {
+      std::this_thread::sleep_for(kRoomAwaited);
+      continue;
+    }
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && wait_for(to.get(), POLLOUT, by)) continue;
     if (n <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(n));
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -4,6 +4,8 @@
 // Must never: know a message, decide anything, or take a span of time where an absolute deadline can be had.
 #pragma once
 
+#include <poll.h>
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -34,7 +36,9 @@
   int fd_ = -1;
 };
 
-enum class Dial { up, refused, failed, pending };
+// `shortage`: this host has no port, route, descriptor or memory for it now, which says nothing of the far
+// end.
+enum class Dial { up, refused, failed, shortage, pending };
 struct Dialled {
   Fd fd;
   Dial how = Dial::failed;
@@ -44,12 +48,24 @@
 Fd listen_on(const Address& at);
 // New connections go to the listener that joined the port next after this one, if there is one: socket(7),
 // SO_ATTACH_REUSEPORT_CBPF. Needs no rights; where the kernel has no such thing, the port stays shared.
-void yield_port(const Fd& listener);
+// False: the kernel refused it, and the port stays shared.
+bool yield_port(const Fd& listener);
 bool write_all(const Fd& to, std::string_view bytes, Time by = kNever);  // false: over, or not read in time
 bool readable(const Fd& from, Time by);                                  // something has come, or the end
 void drain(const Fd& from, Time by, std::size_t most);  // reads and drops, until the end or a bound
 void pause_until(Time at);
-Fd accept_one(const Fd& listener, Time deadline);
+// One connection out of a listener's queue, without waiting.
+struct Accepted {
+  // `lost`: that one had ended already, or a signal came: the next may be there. `shortage`: there is no
+  // descriptor or memory, and it stays in the queue.
+  enum class How { up, none, lost, shortage };
+  How how = How::none;
+  Fd fd{};
+};
+Accepted accept_now(const Fd& listener);
+Fd accept_one(const Fd& listener, Time deadline);  // none: none came in time, or there was no room for it
+// poll(2), which a failure does not turn into a busy loop: nothing is ready then.
+void poll_some(pollfd* polled, std::size_t count, int milliseconds);
 // A connection that is coming up: begun without waiting, then asked how it stands.
 Fd dial_begin(const Address& to, Dial& how);  // Dial::pending: it can be written once it is up or has failed
 Dial dial_state(const Fd& fd);
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -127,15 +127,11 @@
 // Told anew after each turn: what it waits for, and until when.
 void Peer::arm() {
   const bool reads = (stage_ == Stage::reading && !outbox_.crowded()) || stage_ == Stage::draining;
-  const bool kept = loop_->watch(id_, fd_, reads, outbox_.blocked());
+  loop_->watch(id_, fd_, reads, outbox_.blocked());
   Time at = outbox_.due();
   if (stage_ == Stage::reading) at = std::min(at, patience_.next());
   if (stage_ == Stage::draining) at = std::min(at, drained_by_);
   loop_->due(id_, at);
-  if (!kept) {  // the kernel would not tell of it
-    log_line("a connection can't be watched");
-    end();
-  }
 }
 
 bool Peer::push(std::string bytes, std::uint64_t tag, Outbox::Check check) {
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -163,7 +163,7 @@
   Time at = net::kNever;
   if (line_) {
     loop_.watch(watch_, line_->fd, true, line_->outbox.blocked());
-    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : reach_.ask_at());
+    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : ask_at());
     if (asking_) loop_.watch(watch_, asking_, false, true);
   } else if (dialling_) {
     loop_.watch(watch_, dialling_, false, true);
@@ -180,7 +180,7 @@
 // From now on it is to be looked at: woken only where no turn is due in time anyway. Of an open connection,
 // or of one that is wanted.
 void OfficeLink::look_in_time() {
-  if ((line_ ? reach_.ask_at() : dial_at()) < turn_by_) loop_.wake(watch_);
+  if ((line_ ? ask_at() : dial_at()) < turn_by_) loop_.wake(watch_);
 }
 
 void OfficeLink::take(std::string_view text) {
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -11,6 +11,7 @@
 // any, and write at once where they can. Times are absolute. What fails is told to the core, never thrown.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -63,11 +64,15 @@
   bool may_leave(CallId call, std::uint32_t attempt, const Line* on);
   // What follows, with the lock held; on the loop's thread but for queue() and look_in_time().
   void queue(const std::shared_ptr<Line>& line, CallId call, Open& open);
-  [[nodiscard]] Time dial_at() const { return reach_.dial_at(!open_.empty(), !owed_.empty()); }
+  [[nodiscard]] Time dial_at() const {
+    return std::max(reach_.dial_at(!open_.empty(), !owed_.empty()), room_at_);
+  }
+  [[nodiscard]] Time ask_at() const { return std::max(reach_.ask_at(), room_at_); }
   void dial();
   void look_at_dial();
   void dialled(net::Dial how);
   void failed(net::Dial how);
+  void no_room();
   void up(net::Fd fd);
   enum class Rest { unread, read };  // what the office may still have sent on it
   void drop(Rest rest);
@@ -103,9 +108,11 @@
   net::Buffer buffer_;  // of the line
   net::Fd dialling_;
   net::Address dialled_;
-  net::Fd asking_;  // a second connection, beside one that has gone quiet
-  Time dial_by_{};  // for either
-  Time turn_by_{};  // a turn comes by then; in the past: nothing is known
+  net::Fd asking_;              // a second connection, beside one that has gone quiet
+  Time dial_by_{};              // for either
+  Time room_at_{};              // after a dial for which this host had no room: not again before
+  Time room_by_ = net::kNever;  // and by when what waits for it is given back unsent
+  Time turn_by_{};              // a turn comes by then; in the past: nothing is known
 };
 
 }  // namespace reeltack::platform
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -5,6 +5,9 @@
 namespace reeltack::platform {
 namespace {
 
+// How soon a dial is tried again for which this host had no port, route, descriptor or memory.
+constexpr Duration kRoomAwaited = std::chrono::milliseconds(10);
+
 membership::Reach::Dialled dialled_as(net::Dial how) {
   using Dialled = membership::Reach::Dialled;
   return how == net::Dial::up ? Dialled::up : how == net::Dial::refused ? Dialled::refused : Dialled::failed;
@@ -18,9 +21,28 @@
   dialled_ = address_;
   dialling_ = net::dial_begin(address_, how);
   dial_by_ = net::now() + dial_limit_;
+  if (how == net::Dial::shortage) return no_room();
   if (how != net::Dial::pending) dialled(how);
 }
 
+// Nothing is known of the endpoint, and so it is not blamed. What waits for the connection goes on waiting
+// for as long as a dial may take, and is then given back as not sent, to go elsewhere.
+void OfficeLink::no_room() {
+  const Time at = net::now();
+  room_at_ = at + kRoomAwaited;
+  if (open_.empty()) {
+    room_by_ = net::kNever;
+    reach_.failed(membership::Reach::Dialled::failed, at);
+    return;
+  }
+  if (room_by_ == net::kNever) room_by_ = at + dial_limit_;
+  if (at < room_by_) return;
+  room_by_ = net::kNever;
+  net::log_line("endpoint " + net::office_name(id_) + ": this host has no room for a connection to it");
+  for (const auto& [call, open] : std::exchange(open_, {}))
+    core_.send_failed(call, open.attempt, Ending::not_sent);
+}
+
 void OfficeLink::look_at_dial() {
   const net::Dial how = net::dial_state(dialling_);
   if (how != net::Dial::pending) return dialled(how);
@@ -50,6 +72,7 @@
 void OfficeLink::up(net::Fd fd) {
   line_ = std::make_shared<Line>(std::move(fd));
   buffer_ = {};
+  room_by_ = net::kNever;
   reach_.up(net::now());
   core_.reached(id_, true);
   for (auto& [call, text] : std::exchange(owed_, {})) tell_over(call, std::move(text));
@@ -93,8 +116,12 @@
   if (asking_) {
     how = net::dial_state(asking_);
     if (how == net::Dial::pending && at >= dial_by_) how = net::Dial::failed;
-  } else if (at >= reach_.ask_at()) {
+  } else if (at >= ask_at()) {
     asking_ = net::dial_begin(address_, how);
+    if (how == net::Dial::shortage) {  // no evidence of its silence
+      room_at_ = at + kRoomAwaited;
+      return;
+    }
     dialled_ = address_;
     dial_by_ = at + dial_limit_;
   }
--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -428,7 +428,8 @@
     if (!why.empty()) break;
     if (!writing.empty()) {
       const ssize_t n = net::sys::send(fd.get(), writing.data() + written, writing.size() - written);
-      if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+      if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ENOBUFS &&
+          errno != ENOMEM) {
         why = "it is gone";
         break;
       }
@@ -445,7 +446,7 @@
     pollfd waits[2] = {{fd.get(), static_cast<short>(POLLIN | (writing.empty() ? 0 : POLLOUT)), 0},
                        {wake_read_.get(), POLLIN, 0}};
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(due - base::now()).count();
-    net::sys::poll(waits, 2, static_cast<int>(std::clamp<std::int64_t>(wait, 0, 100)));
+    net::poll_some(waits, 2, static_cast<int>(std::clamp<std::int64_t>(wait, 0, 100)));
     if ((waits[1].revents & POLLIN) != 0) drain_wakes();
     if ((waits[0].revents & (POLLIN | POLLHUP | POLLERR)) == 0) continue;
     if (buffer.fill(fd, base::kNever) != net::Got::data) {
