--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -100,15 +100,11 @@
 void Peer::arm() {
   const bool reads = (stage_ == Stage::reading && !outbox_.crowded()) ||
                      (stage_ == Stage::answering && !left_told_) || stage_ == Stage::draining;
-  const bool kept = loop_->watch(id_, fd_, reads, outbox_.blocked());
+  loop_->watch(id_, fd_, reads, outbox_.blocked());
   Time at = outbox_.due();
   if (stage_ == Stage::reading) at = std::min(at, patience_.next());
   if (stage_ == Stage::draining) at = std::min(at, drained_by_);
   loop_->due(id_, at);
-  if (!kept) {  // the kernel would not tell of it
-    log_line("a connection can't be watched");
-    end();
-  }
 }
 
 bool Peer::push(std::string bytes, std::uint64_t tag, Outbox::Check check) {
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -194,7 +194,7 @@
   Time at = net::kNever;
   if (line_) {
     loop_.watch(watch_, line_->fd, true, line_->outbox.blocked());
-    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : std::min(reach_.ask_at(), collect_at()));
+    at = std::min(line_->outbox.due(), asking_ ? dial_by_ : second_dial_at());
     if (asking_) loop_.watch(watch_, asking_, false, true);
   } else if (dialling_) {
     loop_.watch(watch_, dialling_, false, true);
@@ -211,7 +211,7 @@
 // From now on it is to be looked at: woken only where no turn is due in time anyway. Of an open connection,
 // or of one that is wanted.
 void OfficeLink::look_in_time() {
-  if ((line_ ? std::min(reach_.ask_at(), collect_at()) : dial_at()) < turn_by_) loop_.wake(watch_);
+  if ((line_ ? second_dial_at() : dial_at()) < turn_by_) loop_.wake(watch_);
 }
 
 // A call may have been given up here and sent again. An answer of the attempt before lets the call stand as
