Confirm an update of the zone only once its file is durable, and log when it cannot be

Observed in src/dns/updates.cpp, Updates::keep(): the zone's new file was written and renamed without a sync of content or folder, and errors of the close were dropped, so that a confirmed update (RFC 2136, 3.5: kept first) was lost with the power; a failure left the torn NAME.new behind, and no line in the log.

--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -1,8 +1,8 @@
 #include "dns/updates.h"
 
 #include <algorithm>
-#include <cstdio>
-#include <fstream>
+
+#include "base/replace_file.h"
 
 namespace reeltack::dns {
 namespace {
@@ -10,6 +10,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kIdle = 30s;
+constexpr auto kFirstReminder = 1min;  // of a file that still cannot be written
+constexpr auto kLastReminder = 1h;
 constexpr std::size_t kHeader = 12;
 constexpr std::uint16_t kIn = 1;
 constexpr std::uint16_t kNone = 254;
@@ -184,6 +186,7 @@
     : list_(list),
       service_(std::move(service)),
       file_(std::move(file)),
+      outage_(kFirstReminder, kLastReminder),
       zone_(std::move(zone)),
       door_(16, [this](net::Fd fd) { return std::make_shared<UpdatePeer>(*this, std::move(fd)); }) {
   const std::lock_guard hold(lock_);
@@ -234,14 +237,33 @@
   list_.told(core::Source::zone, false, std::move(changes));
 }
 
-bool Updates::keep(const Zone& zone) const {
+// With the lock held. An outage is logged at its beginning, while it lasts, and at its end.
+bool Updates::keep(const Zone& zone) {
   if (file_.empty()) return true;
-  const std::string fresh = file_ + ".new";
-  {
-    std::ofstream out(fresh, std::ios::binary | std::ios::trunc);
-    if (!(out << zone.text()) || !out.flush()) return false;
+  std::string why;
+  const bool kept = base::replace_file(file_, zone.text(), why);
+  const auto now = std::chrono::steady_clock::now();
+  const auto lasted = [&] {
+    return std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(outage_.lasted(now)).count()) +
+           " ms, " + std::to_string(outage_.failures()) + " updates refused";
+  };
+  if (kept) {
+    if (outage_.on()) net::log_line("zone: " + file_ + " is written again after " + lasted());
+    outage_.ended();
+    return true;
+  }
+  switch (outage_.failed(now)) {
+    case base::Outage::Report::begun:
+      net::log_line("zone: updates are refused, they cannot be kept: " + why);
+      break;
+    case base::Outage::Report::lasting:
+      net::log_line("zone: updates are still refused for " + lasted() + ": " + why);
+      break;
+    case base::Outage::Report::nothing:
+      break;
   }
-  return std::rename(fresh.c_str(), file_.c_str()) == 0;
+  return false;
 }
 
 }  // namespace reeltack::dns
--- a/src/dns/updates.h
+++ b/src/dns/updates.h
@@ -2,10 +2,12 @@
 //
 // Owns: the zone once it is loaded, each update as a whole or not at all, the zone's file, and what the
 // office
-//   list hears of it. An office that leaves the zone drains.
+//   list hears of it. An office that leaves the zone drains. An update is confirmed once the zone's file is
+//   durable, and refused (SERVFAIL) where it cannot be written; the zone goes on as it was.
 // Must never: answer queries, take half an update, or take one from another machine.
 #pragma once
 
+#include "base/outage.h"
 #include "core/office_list.h"
 #include "dns/zone.h"
 #include "net/door.h"
@@ -41,11 +43,12 @@
 
  private:
   void tell();
-  bool keep(const Zone& zone) const;
+  bool keep(const Zone& zone);
   core::OfficeList& list_;
   const std::string service_;
   const std::string file_;
   std::mutex lock_;
+  base::Outage outage_;  // of the zone's file
   Zone zone_;
   std::map<ServerId, core::OfficeEntry> told_;
   net::Door door_;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -1105,5 +1105,34 @@
   EXPECT_NE(kept.str().find(" 8 1 1 1 1"), std::string::npos) << kept.str();  // the serial has moved on
 }
 
+// An update is confirmed only where the zone's file holds it (RFC 2136, 3.5); the zone goes on as it was.
+TEST_F(Dns, AnUpdateThatCannotBeKeptIsRefusedUntilTheFileCanBeWritten) {
+  ::mkdir(dir().c_str(), 0700);
+  const std::string file = dir() + "/t.zone";
+  const std::string zone =
+      "$ORIGIN t.example.\n$TTL 60\n@ IN SOA ns m ( 7 1 1 1 1 )\n_c._tcp SRV 0 1 4000 a\na A " + host(1) +
+      "\nb A " + host(2) + "\n";
+  std::ofstream(file) << zone;
+  ASSERT_EQ(::mkdir((file + ".new").c_str(), 0700), 0);  // where the new content is to be written
+  start(false, R"({"on":true,"file":")" + file + R"(","service":"_c._tcp.t.example.","updates":")" + host(0) +
+                   R"(:7000"})");
+  StandIn& dns = open("d", "dns");
+  const std::string add_b = update(record("_c._tcp.t.example.", dns::kSrv, 1, 60, srv("b.t.example.")), 0, 1);
+  const auto content = [&file] {
+    std::stringstream out;
+    out << std::ifstream(file).rdbuf();
+    return out.str();
+  };
+  for (int i = 0; i < 2; ++i) {
+    dns.raw(add_b);
+    EXPECT_EQ(dns.next().substr(5, 1), std::string("\x02"));  // SERVFAIL
+    EXPECT_EQ(content(), zone);
+  }
+  ASSERT_EQ(::rmdir((file + ".new").c_str()), 0);
+  dns.raw(add_b);
+  EXPECT_EQ(dns.next().substr(5, 1), std::string("\0", 1));
+  EXPECT_NE(content().find("b.t.example."), std::string::npos);
+}
+
 }  // namespace
 }  // namespace reeltack::test
