Follow a slow discovery, and see a move while its connection comes up

Ruled out by tests that passed before: a connection closed within a record at six bytes, events that are older or equal after a reconnect, a malformed frame between good ones, a move there and back, an outage of 2 s, a whole list that leaves out an endpoint with a call that stands and one in flight.

Changed: a silent connection is still replaced after 1.8 s, but the oldest silent one is kept beside the next for 8 s, and whichever speaks first is followed. A connect gets 0.5, 1, then 2 s. Pauses double from 150 to 400 ms, drawn from their upper half. The spans are decided in membership/watch_pacing, without clock or I/O.

Not measured: how many connections hundreds of controllers bring to a crowded discovery.

--- /dev/null
+++ b/src/membership/watch_pacing.cpp
@@ -0,0 +1,31 @@
+#include "membership/watch_pacing.h"
+
+#include <algorithm>
+
+namespace reeltack::membership {
+namespace {
+
+constexpr unsigned kMostDoublings = 8;
+
+Duration doubled(Duration first, unsigned times, Duration most) {
+  return std::min(first * (1U << std::min(times, kMostDoublings)), most);
+}
+
+}  // namespace
+
+void WatchPacing::heard() { failures_ = 0; }
+void WatchPacing::failed() { ++failures_; }
+void WatchPacing::not_in_time() { ++late_; }
+void WatchPacing::came_up() { late_ = 0; }
+
+Duration WatchPacing::connect_limit() const {
+  return doubled(settings_.connect, late_, settings_.longest_connect);
+}
+
+Duration WatchPacing::pause(double uniform) const {
+  const Duration most = doubled(settings_.pause, failures_ == 0 ? 0 : failures_ - 1, settings_.longest_pause);
+  const double part = 0.5 + 0.5 * std::clamp(uniform, 0.0, 1.0);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, Duration::period>(most) * part);
+}
+
+}  // namespace reeltack::membership
--- a/src/platform/bulletin.cpp
+++ b/src/platform/bulletin.cpp
@@ -1,6 +1,8 @@
 #include "platform/bulletin.h"
 
+#include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace reeltack::platform {
 namespace {
@@ -8,11 +10,10 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kRecord = 27;
-// A whole frame comes each second; without one for so long the connection is dead, whatever trickles in. What
-// it would have told counts as told 4 s after it stopped, so that a new one must be up well before.
-constexpr Duration kSilence = 1800ms;
-constexpr Duration kDialLimit = 500ms;
-constexpr Duration kAgain = 150ms;
+// While a connection comes up it is looked at so often, first and at most.
+constexpr Duration kFirstLook = 1ms;
+constexpr Duration kLook = 10ms;
+constexpr Duration kLookAtSlow = 25ms;  // the silent connection, beside the one in use
 
 core::OfficeEntry read_record(std::string_view r) {
   core::OfficeEntry out;
@@ -50,14 +51,15 @@
   return out;
 }
 
-Bulletin::Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last)
-    : list_(list), last_(last), at_(std::move(at)), thread_([this] { run(); }) {}
+Bulletin::Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last,
+                   membership::WatchSettings settings)
+    : list_(list), last_(last), pacing_(settings), at_(std::move(at)), thread_([this] { run(); }) {}
 
 Bulletin::~Bulletin() {
   {
     const std::lock_guard hold(lock_);
     stopping_ = true;
-    fd_.shut();
+    if (current_) current_->fd.shut();
     changed_.notify_all();
   }
   thread_.join();
@@ -68,7 +70,7 @@
   if (net::to_text(at) == net::to_text(at_)) return;
   at_ = at;
   moved_ = true;
-  fd_.shut();
+  if (current_) current_->fd.shut();
   changed_.notify_all();
 }
 
@@ -79,63 +81,127 @@
     {
       const std::lock_guard hold(lock_);
       if (stopping_) return;
+      if (moved_) slow_.reset();  // the old one must not be followed
       moved_ = false;
       to = at_;
     }
-    net::Dialled dialled = net::dial(to, net::now() + kDialLimit);
+    std::shared_ptr<Connection> fresh = connect(to);
     {
       const std::lock_guard hold(lock_);
       if (stopping_) return;
-      if (moved_) continue;  // while it was dialled: the old one must not be followed
-      fd_ = std::move(dialled.fd);
+      if (moved_) continue;
+      current_ = std::move(fresh);
     }
-    if (dialled.how == net::Dial::up) follow(fd_);
+    const Ended how = current_ ? follow() : Ended::closed;
     list_.live(false);
+    pacing_.failed();
     std::unique_lock hold(lock_);
-    fd_.reset();
-    changed_.wait_until(hold, std::chrono::system_clock::now() + kAgain,
-                        [this] { return stopping_ || moved_; });
+    // It may be slow and not dead: the oldest one is kept until it speaks, or has had its time.
+    if (how == Ended::silent && !slow_) {
+      slow_ = current_;
+      slow_until_ = net::now() + pacing_.settings().slow;
+    }
+    current_.reset();
+    changed_.wait_for(hold, pacing_.pause(uniform_(random_)), [this] { return stopping_ || moved_; });
   }
 }
 
-void Bulletin::follow(const net::Fd& fd) {
+// Nothing: it has not come up, or there is nothing to wait for any more.
+std::shared_ptr<Bulletin::Connection> Bulletin::connect(const net::Address& to) {
+  net::Dial how = net::Dial::failed;
+  auto fresh = std::make_shared<Connection>();
+  fresh->fd = net::dial_begin(to, how);
+  const Time by = net::now() + pacing_.connect_limit();
+  for (Duration look = kFirstLook; how == net::Dial::pending; look = std::min(2 * look, kLook)) {
+    {
+      std::unique_lock hold(lock_);
+      if (changed_.wait_for(hold, look, [this] { return stopping_ || moved_; })) return nullptr;
+    }
+    if (slow_speaks()) return std::exchange(slow_, nullptr);
+    how = net::dial_state(fresh->fd);
+    if (how == net::Dial::pending && net::now() >= by) {
+      pacing_.not_in_time();
+      return nullptr;
+    }
+  }
+  if (how != net::Dial::up) return nullptr;
+  pacing_.came_up();
   std::string greeting;
   for (int shift = 56; shift >= 0; shift -= 8)
     greeting += static_cast<char>(last_ >> static_cast<unsigned>(shift));
-  if (!net::write_all(fd, greeting)) return;
-  net::Buffer buffer;
-  Time silent = net::now() + kSilence;
+  return net::write_all(fresh->fd, greeting) ? fresh : nullptr;
+}
+
+// The silent connection holds a whole frame by now. It is let go once it has ended or its time is over.
+bool Bulletin::slow_speaks() {
+  if (!slow_) return false;
+  std::size_t used = 0;
+  try {
+    const net::Got got = slow_->buffer.fill_now(slow_->fd);
+    if (parse_frame(slow_->buffer.view(), used)) return true;
+    if (got != net::Got::closed && net::now() < slow_until_) return false;
+  } catch (const std::runtime_error& error) {
+    net::log_line(std::string("bulletin: ") + error.what() + "; it was slow, and is let go");
+  }
+  slow_.reset();
+  return false;
+}
+
+void Bulletin::follow_slow() {
+  const std::lock_guard hold(lock_);
+  current_ = std::exchange(slow_, nullptr);
+  if (stopping_ || moved_) current_->fd.shut();
+}
+
+Bulletin::Ended Bulletin::follow() {
+  Time silent = net::now() + pacing_.settings().silence;
   try {
     for (;;) {
       std::size_t used = 0;
-      std::optional<Frame> frame = parse_frame(buffer.view(), used);
-      if (!frame) {
-        if (buffer.fill(fd, silent) != net::Got::data) return;
+      std::optional<Frame> frame = parse_frame(current_->buffer.view(), used);
+      if (frame) {
+        current_->buffer.take(used);
+        silent = net::now() + pacing_.settings().silence;
+        pacing_.heard();
+        slow_.reset();
+        if (!take(*frame)) return Ended::closed;
         continue;
       }
-      buffer.take(used);
-      silent = net::now() + kSilence;
-      // Its numbers went back: it has begun anew, and is asked from its first event on. Where members share
-      // their lists alone; the platform's own bulletin counts on for as long as a controller runs.
-      if (frame->kind == 0 && frame->number > 0 && frame->number < last_ && list_.governed()) {
-        net::log_line("bulletin: it has begun anew, from " + std::to_string(last_) + " to " +
-                      std::to_string(frame->number));
-        last_ = 0;
-        list_.restarted();
-        return;
+      if (slow_speaks()) {
+        follow_slow();
+        continue;
       }
-      if (frame->kind == 0) list_.caught_up();
-      if (frame->number <= last_) list_.live(true);  // nothing is newer
-      // An event told twice must not undo what has come since.
-      if (frame->kind == 0 || frame->number <= last_) continue;
-      last_ = frame->number;
-      list_.numbered(last_);
-      list_.told(core::Source::platform, frame->kind == 1, std::move(frame->offices));
-      list_.live(true);
+      const Time by = slow_ ? std::min(silent, net::now() + kLookAtSlow) : silent;
+      const net::Got got = current_->buffer.fill(current_->fd, by);
+      if (got == net::Got::closed) return Ended::closed;
+      if (got == net::Got::late && net::now() >= silent) return Ended::silent;
     }
   } catch (const std::runtime_error& error) {
     net::log_line(std::string("bulletin: ") + error.what() + "; connecting anew");
+    return Ended::closed;
+  }
+}
+
+// False: its events are asked for from the first on.
+bool Bulletin::take(Frame& frame) {
+  // Its numbers went back: it has begun anew, and is asked from its first event on. Where members share their
+  // lists alone; the platform's own bulletin counts on for as long as a controller runs.
+  if (frame.kind == 0 && frame.number > 0 && frame.number < last_ && list_.governed()) {
+    net::log_line("bulletin: it has begun anew, from " + std::to_string(last_) + " to " +
+                  std::to_string(frame.number));
+    last_ = 0;
+    list_.restarted();
+    return false;
   }
+  if (frame.kind == 0) list_.caught_up();
+  if (frame.number <= last_) list_.live(true);  // nothing is newer
+  // An event told twice must not undo what has come since.
+  if (frame.kind == 0 || frame.number <= last_) return true;
+  last_ = frame.number;
+  list_.numbered(last_);
+  list_.told(core::Source::platform, frame.kind == 1, std::move(frame.offices));
+  list_.live(true);
+  return true;
 }
 
 }  // namespace reeltack::platform
--- a/src/platform/bulletin.h
+++ b/src/platform/bulletin.h
@@ -1,12 +1,17 @@
 // The bulletin: the platform's list of offices, as frames over TCP.
 //
 // Owns: the subscription, resumed after the last event that was taken.
-// Must never: skip an event, take one twice, or wait for ever on a connection that has gone silent.
+// Must never: skip an event, take one twice, wait for ever on a connection that has gone silent, or let go of
+// one that is merely slow before another speaks.
 #pragma once
 
-#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <random>
 
 #include "core/office_list.h"
+#include "membership/watch_pacing.h"
 #include "net/buffers.h"
 
 namespace reeltack::platform {
@@ -21,22 +26,38 @@
 
 class Bulletin {
  public:
-  Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last);
+  Bulletin(core::OfficeList& list, net::Address at, std::uint64_t last,
+           membership::WatchSettings settings = {});
   ~Bulletin();
   // The platform has moved it: the old connection ends, and the new one resumes after the last event taken.
   void move_to(const net::Address& at);
 
  private:
+  struct Connection {
+    net::Fd fd;
+    net::Buffer buffer;
+  };
+  enum class Ended { closed, silent };
   void run();
-  void follow(const net::Fd& fd);
+  std::shared_ptr<Connection> connect(const net::Address& to);
+  Ended follow();
+  bool slow_speaks();
+  void follow_slow();
+  bool take(Frame& frame);
   core::OfficeList& list_;
-  std::uint64_t last_;  // of its own thread
-  std::mutex lock_;     // guards what follows
+  // Of its own thread.
+  std::uint64_t last_;
+  membership::WatchPacing pacing_;
+  std::minstd_rand random_{std::random_device{}()};
+  std::uniform_real_distribution<double> uniform_{0.0, 1.0};
+  std::shared_ptr<Connection> slow_;  // silent for now, kept beside the one in use
+  Time slow_until_{};
+  std::mutex lock_;  // guards what follows
   net::Address at_;
   bool moved_ = false;
   std::condition_variable changed_;
   bool stopping_ = false;
-  net::Fd fd_;
+  std::shared_ptr<Connection> current_;  // changed by its own thread alone
   net::Thread thread_;
 };
 
--- a/tests/crossings/endpoint_connections_test.cpp
+++ b/tests/crossings/endpoint_connections_test.cpp
@@ -1,5 +1,6 @@
 // Connections to endpoints that end, never come up or are told as over while a set-up goes on them: what has
 // not begun to leave is sent once on the next, and what may have left is never taken for unsent.
+#include "core/office_list.h"
 #include "crossings/endpoint_world.h"
 
 namespace reeltack::test {
@@ -114,6 +115,29 @@
   EXPECT_EQ(line(begun), "");
 }
 
+// A whole list leaves out an endpoint with a call that stands and one in flight: the one is released towards
+// its caller, the other goes to the endpoint that is listed, once the release guard is over.
+TEST_F(EndpointConnections, WholeListThatLeavesOutAnEndpointEndsItsCalls) {
+  FakeEndpoint& first = add(1);
+  FakeEndpoint& second = add(2);
+  core::OfficeList list(*core_);
+  list.told(core::Source::platform, true, {entry(first, ServerState::ready)});
+  const net::Fd connection = accept(first);
+  request(kCall);
+  ASSERT_TRUE(is(line(connection), "START", kCall));
+  say(connection, started_line(kCall));
+  turns();
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  request(kOther);
+  ASSERT_TRUE(is(line(connection), "START", kOther));
+  list.told(core::Source::platform, true, {entry(second, ServerState::ready)});
+  const net::Fd other = accept(second);
+  EXPECT_TRUE(is(line(other), "START", kOther));
+  ASSERT_TRUE(callers_.await(kCall, 2));
+  EXPECT_EQ(callers_.events(kCall).back(), "released 41");
+  EXPECT_EQ(line(connection), "") << "nothing more goes to what is not listed";
+}
+
 // Gone while the set-up waits for the connection.
 TEST_F(EndpointConnections, GoneWhileConnectingEndsAllThatWaits) {
   FakeEndpoint& endpoint = add(1);
--- a/tests/crossings/endpoint_world.h
+++ b/tests/crossings/endpoint_world.h
@@ -139,13 +139,16 @@
     out.link->begin();
     return out;
   }
+  static core::OfficeEntry entry(const FakeEndpoint& endpoint, ServerState state, Time started = {}) {
+    core::OfficeEntry out{{.server = endpoint.id, .place = 0, .state = state},
+                          net::to_text(endpoint.address)};
+    out.entry.started_at = started;
+    out.entry.capacity = 1.0;
+    return out;
+  }
   // To the link and the core, as discovery does.
   void tell(const FakeEndpoint& endpoint, ServerState state, Time started = {}) {
-    core::OfficeEntry entry{{.server = endpoint.id, .place = 0, .state = state},
-                            net::to_text(endpoint.address)};
-    entry.entry.started_at = started;
-    entry.entry.capacity = 1.0;
-    core_->told(false, {entry});
+    core_->told(false, {entry(endpoint, state, started)});
   }
   // One endpoint that is listed, with its first connection.
   net::Fd connected(FakeEndpoint& endpoint) {
