Bound the listener's end by looks, not by time; a test of its own for each mend

The end was also bound by 250 ms of time, so that a stall of the machine could close the listener over its queue (door.cpp:97).

Change: the listener's end looks 50 times, 5 ms apart, where there is no room, and takes 1024 connections lost in a row for a shortage. Tests: the bell is rung again; a call in the queue as the end begins is taken in after 40 failures and each errno of one connection; a call is refused as not sent where no port comes free; the kernel and the loop disagree on what is watched; a lack of descriptors is no evidence that a quiet endpoint is gone.

Not run: the whole suite.

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -10,8 +10,9 @@
 constexpr Duration kLook = std::chrono::milliseconds(5);
 // Those over the limit that may wait while idle ones are asked to end.
 constexpr std::size_t kOverflow = 32;
-// At the end, for those that are in the listener's queue while there is no room for them.
-constexpr Duration kTakenIn = std::chrono::milliseconds(250);
+// At the end, while there is no room for those that are in the listener's queue: so often, kLook apart.
+constexpr int kMostLooksAtTheEnd = 50;
+constexpr int kMostLost = 1024;  // in a row, that had ended before they were accepted
 constexpr int kMostAtOnce = 32;  // accepted in a turn, so that a flood does not keep the others waiting
 
 }  // namespace
@@ -24,8 +25,8 @@
   Fd fd;
   Loop::Id id = 0;
   std::atomic<bool> closing{false};
-  Time closes_by = kNever;  // once it is closing
-  bool closed = false;      // with the door's lock
+  int looks = 0;        // since it is closing
+  bool closed = false;  // with the door's lock
 
  private:
   Door& door_;
@@ -89,24 +90,26 @@
 void Door::accept_some(Listener& listener) {
   if (!listener.fd) return;
   const bool closing = listener.closing;
-  if (closing && listener.closes_by == kNever) listener.closes_by = now() + kTakenIn;
+  const bool last = closing && ++listener.looks >= kMostLooksAtTheEnd;
   // Whoever the kernel has let in already may have sent a request, and closing the listener would reset it:
   // at the end all are taken in, at once.
   bool waits = false;
   bool none = false;
-  for (int n = 0; closing ? now() < listener.closes_by : n < kMostAtOnce; ++n) {
+  int lost = 0;
+  for (int n = 0; closing || n < kMostAtOnce; ++n) {
     if (!closing && !place()) {  // those that wait stay in the listener's queue
       waits = true;
       break;
     }
     Accepted next = accept_now(listener.fd);
     if (next.how == Accepted::How::up) admit(std::move(next.fd));
-    waits = next.how == Accepted::How::shortage;  // would come back at once, in vain
+    lost = next.how == Accepted::How::lost ? lost + 1 : 0;
+    waits = next.how == Accepted::How::shortage || lost >= kMostLost;  // would come back at once, in vain
     // At the end one answer is not enough: what closes under them is lost.
     const bool before = std::exchange(none, next.how == Accepted::How::none);
     if (waits || (none && (before || !closing))) break;
   }
-  if (!closing || (waits && now() < listener.closes_by)) {
+  if (!closing || (waits && !last)) {
     loop_->watch(listener.id, listener.fd, !waits, false);
     loop_->due(listener.id, waits ? now() + kLook : kNever);
     return;
--- a/tests/system_calls/faults.cpp
+++ b/tests/system_calls/faults.cpp
@@ -28,6 +28,7 @@
 std::array<std::uint64_t, kCalls> counts{};
 
 thread_local int exempt = 0;
+thread_local int error_now = 0;  // of the call that was met last
 
 enum class Verdict { pass, fail, shortened };
 
@@ -37,15 +38,16 @@
   const std::lock_guard hold(lock);
   if (is_armed && armed.call == call && armed.port != 0 && armed.port != port) return Verdict::pass;
   const std::uint64_t number = ++counts[static_cast<std::size_t>(call)];
-  if (!is_armed || armed.call != call || number < armed.first || number >= armed.first + armed.repeat)
-    return Verdict::pass;
+  if (!is_armed || armed.call != call || number < armed.first) return Verdict::pass;
+  const bool repeats = number < armed.first + armed.repeat;
+  if (!repeats && (armed.after == 0 || number > armed.first + armed.repeat)) return Verdict::pass;
   ++failures;
+  error_now = repeats ? armed.error : armed.after;
   return armed.error == kShort ? Verdict::shortened : Verdict::fail;
 }
 
 int fail() {
-  const std::lock_guard hold(lock);
-  errno = armed.error;
+  errno = error_now;
   return -1;
 }
 
--- a/tests/system_calls/faults.h
+++ b/tests/system_calls/faults.h
@@ -43,6 +43,7 @@
   int error = kShort;
   std::uint64_t first = 1;   // which call of the kind fails first, counted from 1 as it is armed
   std::uint64_t repeat = 1;  // and how many in a row
+  int after = 0;             // the one after these fails with this errno; 0: it passes
   int port = 0;              // connect only: of the address; 0: any
 };
 // Its name for a failed expectation: "recv 7 ETIMEDOUT".
--- a/tests/system_calls/shortage_test.cpp
+++ b/tests/system_calls/shortage_test.cpp
@@ -90,7 +90,8 @@
   exchange.invite("a", 1, FakeEndpoint::kAnswers);
   EXPECT_TRUE(exchange.await_final(1));
   const auto spent = std::chrono::ceil<std::chrono::milliseconds>(net::now() - from).count();
-  EXPECT_EQ(exchange.client->calls[1].finals.size(), 1U);
+  // Refused as one that went nowhere, not at its deadline.
+  EXPECT_EQ(exchange.client->calls[1].finals, std::vector{503});
   EXPECT_EQ(exchange.starts(1), 0);
   EXPECT_EQ(exchange.blamed(), 0);
   EXPECT_LE(faults::visited(Call::connect), static_cast<std::uint64_t>(spent / 10 + 20));
@@ -115,6 +116,27 @@
   }
 }
 
+// A call is in the listener's queue as the program is asked to end, and there is no descriptor for it yet.
+TEST_F(Shortage, CallInTheQueueIsTakenInAtTheEndOnceThereIsRoom) {
+  for (const int error : {EMFILE, ENFILE, ENOBUFS, ENOMEM, ECONNABORTED, EINTR, EAGAIN}) {
+    SCOPED_TRACE(error);
+    Exchange exchange;
+    exchange.start();
+    exchange.list();
+    ASSERT_TRUE(exchange.until([&] { return exchange.core->ready(); }));
+    exchange.client->reconnects(false);
+    // It stays in the queue for 40 looks, 5 ms apart; the end, which begins meanwhile, looks 50 times.
+    faults::arm({.call = Call::accept4, .error = EMFILE, .repeat = 40, .after = error});
+    exchange.invite("a", 1, FakeEndpoint::kAnswers);
+    ASSERT_TRUE(exchange.until([] { return faults::failed() > 0; }));
+    base::Thread closing([&] { exchange.sip->close_idle(); });
+    EXPECT_TRUE(exchange.await_final(1));
+    EXPECT_EQ(exchange.client->calls[1].finals, std::vector{200});
+    closing.join();
+    faults::disarm();
+  }
+}
+
 // Whatever the listener answers to the end, the end comes.
 TEST_F(Shortage, ProgramEndsWhereNoConnectionCanBeAccepted) {
   for (const int error : {EMFILE, ECONNABORTED, EINTR, EBADF}) {
--- /dev/null
+++ b/tests/system_calls/silence_test.cpp
@@ -0,0 +1,86 @@
+// A quiet connection to an endpoint, while this host has no room for the second one that would show whether
+// the endpoint is there.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cerrno>
+#include <future>
+
+#include "platform/link.h"
+#include "system_calls/faults.h"
+
+namespace reeltack::test {
+namespace {
+
+using namespace std::chrono_literals;
+using faults::Call;
+
+constexpr ServerId kEndpoint{10};
+constexpr Duration kLost = membership::ReachSettings{}.lost;
+
+class NoEndpoints final : public core::OfficeSide {
+ public:
+  void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*endpoints*/) override {}
+  void start(const core::SetUp& /*attempt*/) override {}
+  void give_up(ServerId /*endpoint*/, CallId /*call*/, std::uint32_t /*attempt*/) override {}
+  void release(ServerId /*endpoint*/, CallId /*call*/) override {}
+  void keep(ServerId /*endpoint*/, bool /*calls_stand*/) override {}
+};
+class Blame final : public core::Watcher {
+ public:
+  void saw(ServerId /*endpoint*/, Saw what) override {
+    unreachable = unreachable || what == Saw::unreachable;
+  }
+  std::atomic<bool> unreachable{false};
+};
+
+// All that was posted to the core before has been taken.
+void settle(core::Core& core) {
+  std::promise<void> taken;
+  core.at(net::now(), [&taken] { taken.set_value(); });
+  taken.get_future().wait();
+}
+
+TEST(Silence, LackOfDescriptorsIsNoEvidenceThatAnEndpointIsGone) {
+  const faults::TestThread exempt;
+  Settings settings;
+  settings.classes.push_back({.aim = 2s, .deadline = 9s});
+  Blame blame;
+  NoEndpoints none;
+  core::Core core(settings, 1);
+  core.watch(blame);
+  core.start(none);
+  const net::Address at{"127.0.0.1", static_cast<std::uint16_t>(20000 + ::getpid() % 10000)};
+  const net::Fd listener = net::listen_on(at);
+  net::Loop loop;
+  const auto link = std::make_shared<platform::OfficeLink>(core, loop, kEndpoint, 500ms);
+  link->begin();
+  link->listed({{.server = kEndpoint}, net::to_text(at)});
+  net::Fd first;
+  for (int turns = 0; !first && turns < 1000; ++turns) {
+    link->turn(false);
+    first = net::accept_one(listener, net::now() + 10ms);
+  }
+  ASSERT_TRUE(first);
+  link->turn(true);
+  link->keep(true);
+  {
+    const faults::ProgramCalls counted;
+    faults::arm({.call = Call::socket, .error = EMFILE, .repeat = faults::kForEver});
+    for (const Time by = net::now() + kLost + 200ms; net::now() < by; net::pause_until(net::now() + 20ms))
+      link->turn(false);
+    faults::disarm();
+  }
+  EXPECT_GT(faults::failed(), 0U);
+  settle(core);
+  EXPECT_FALSE(blame.unreachable);
+  // It has not left the first connection, and asks by a second one now that it can.
+  EXPECT_FALSE(first.far_end_closed());
+  link->turn(false);
+  EXPECT_TRUE(net::accept_one(listener, net::now() + 5s));
+  core.stop();
+}
+
+}  // namespace
+}  // namespace reeltack::test
--- a/tests/system_calls/waits_test.cpp
+++ b/tests/system_calls/waits_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "net/buffers.h"
+#include "net/loop.h"
 #include "system_calls/faults.h"
 
 namespace reeltack::test {
@@ -90,6 +91,46 @@
   faults::disarm();
 }
 
+class Idle final : public net::Watched {
+ public:
+  void turn(bool /*ready*/) override {}
+};
+
+// The wake that was lost so: the loop slept on until something else came.
+TEST(Waits, BellIsRungAgainAfterAnInterruption) {
+  net::Loop loop;
+  loop.add(std::make_shared<Idle>());
+  loop.start();
+  for (int n = 0; n < 100; ++n) {
+    faults::arm({.call = Call::write, .error = EINTR});
+    loop.wake(1);
+    faults::disarm();
+    // One that found the loop awake rings nothing.
+    if (faults::failed() > 0) {
+      EXPECT_EQ(faults::visited(Call::write), 2U);
+    }
+    net::pause_until(net::now() + 1ms);
+  }
+  loop.stop();
+}
+
+// The kernel and the loop disagree on what is watched: the kernel is right.
+TEST(Waits, DescriptorIsWatchedWhateverTheKernelHoldsOfIt) {
+  net::Loop loop;
+  Pair pair;
+  ASSERT_TRUE(loop.watch(1, pair.near, true, false));
+  faults::arm({.call = Call::epoll_ctl, .error = ENOMEM});
+  loop.unwatch(pair.near);
+  EXPECT_EQ(faults::failed(), 1U);
+  faults::disarm();
+  EXPECT_TRUE(loop.watch(1, pair.near, true, false));  // it was watched still
+  const int number = pair.near.get();
+  pair.near.reset();
+  Pair again;
+  ASSERT_EQ(again.near.get(), number);
+  EXPECT_TRUE(loop.watch(1, again.near, true, true));  // and is not any more
+}
+
 // A wait for a connection outlasts a lack of descriptors and a connection that was aborted.
 TEST(Waits, AcceptingGoesOnAfterFailures) {
   const net::Address at{"127.0.0.1", 24931};
