--- a/tests/store/keeper_disk_test.cpp
+++ b/tests/store/keeper_disk_test.cpp
@@ -106,7 +106,7 @@
 TEST(KeeperDisk, AValueOfAnEarlierLifeIsWrittenAgainWhereTheStoreIsLost) {
   Case c;
   Opened opened = Store::open(c.store);
-  ASSERT_TRUE(opened.store->write({{"vote", "7"}, {"other", "1"}}, Time{}).ok());
+  ASSERT_TRUE(opened.store->write({{"vote", "7"}, {"other", "1"}}, clocks::WallTime{}).ok());
   std::atomic<bool> spoil{true};
   c.vfs.hook = [&](const FileStep& s) {
     if (!spoil || s.what != "write" || !s.before) return SQLITE_OK;
@@ -130,7 +130,7 @@
 
 TEST(KeeperDisk, WhatIsFoundLateIsShownBeforeItIsWrittenOver) {
   Case c;
-  ASSERT_TRUE(Store::open(c.store).store->write({{"a", "old"}}, Time{}).ok());
+  ASSERT_TRUE(Store::open(c.store).store->write({{"a", "old"}}, clocks::WallTime{}).ok());
   std::atomic<bool> fails{true};
   c.vfs.hook = [&](const FileStep& s) { return fails && s.before ? SQLITE_CANTOPEN : SQLITE_OK; };
   Opened opened = Store::open(c.store);
--- a/tests/store/sync_failure_test.cpp
+++ b/tests/store/sync_failure_test.cpp
@@ -26,7 +26,7 @@
     watch();
     for (int i = 1; i <= kBatches;) {
       if (!opened_.store) opened_ = Store::open(settings_);
-      if (opened_.store && opened_.store->write(batch(i), Time{Duration{i}}).ok()) {
+      if (opened_.store && opened_.store->write(batch(i), clocks::WallTime{Duration{i}}).ok()) {
         vfs_.trace.push_back({FileChange::Kind::mark, "", i, "", false});
         if (++i == kBatches / 2) opened_.store.reset();
       } else {
