Say in START what is left as it leaves, rounded down, not what was left when queued

Observed: the text of a START was made once, as the set-up was handed to the link (src/platform/offices.cpp:49), with the time left rounded up (src/platform/office_lines.cpp:70). A set-up that waited behind others, for a first connection or for the next one after a break (OfficeLink::Open.text, queued again in up()) told its endpoint of more time than its caller had, by as long as it waited. The same in the websocket front (src/ws/front.cpp:394), where a set-up waits in the outbox. Change: the outbox's check, which is asked as a message is about to leave, may write the message anew; the link and the websocket front do so where less is left than it says. Spans are rounded down, and what has less than 1 ms left does not leave (not_sent). A trunk rounds down too, and is not asked again once the signal is queued on its connection: left as it is. Ruled out: X-Patience; it is a span, from the reading at which the request is parsed, and kAnswerAhead lies before it. Seen to fail: without the rewriting line LeftOnTheWire.IsWhatIsLeftAfterAWaitInTheQueue (59986 ms told of 59786); with the text made at the start, as before, also ...AsTheSetUpLeaves and ...OnTheConnectionAfterABreak. The websocket's has no test of its own. door_test: the check takes the message now; what it holds is unchanged.

--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -102,7 +102,7 @@
     if (item.check) {
       busy_ = true;
       hold.unlock();
-      leaves = item.check();
+      leaves = item.check(item.bytes);
       hold.lock();
       busy_ = false;
     }
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -37,8 +37,9 @@
 // whoever watches the descriptor flushes it when it can be written again. Any thread.
 class Outbox {
  public:
-  // Asked as the message is about to leave, with no lock held; false: it is dropped unsent.
-  using Check = std::function<bool()>;
+  // Asked as the message is about to leave, with no lock held; false: it is dropped unsent. It may put other
+  // bytes in the message's place, for what was true when it was queued may not be true any more.
+  using Check = std::function<bool(std::string& bytes)>;
   // False: closed, or the peer does not read and the queue is full; the connection should end then.
   bool push(std::string bytes, std::uint64_t tag = 0, Check check = {});
   enum class Sent { whole, queued, refused };
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -25,12 +25,12 @@
   loop_.wake(watch_);
 }
 
-bool OfficeLink::start(const SetUp& set_up, std::string text) {
+bool OfficeLink::start(const SetUp& set_up, const std::string& class_name) {
   std::shared_ptr<Line> line;
   {
     const std::lock_guard hold(lock_);
     if (reach_.gone()) return false;
-    Open& open = open_[set_up.call] = {set_up.attempt, ++tags_, set_up.give_up, false, std::move(text)};
+    Open& open = open_[set_up.call] = {set_up, class_name, ++tags_, false};
     line = line_;
     if (line) queue(line, set_up.call, open);
   }
@@ -43,7 +43,7 @@
   {
     const std::lock_guard hold(lock_);
     const auto found = open_.find(call);
-    if (found == open_.end() || found->second.attempt != attempt) return;
+    if (found == open_.end() || found->second.set_up.attempt != attempt) return;
     const Open open = std::move(found->second);
     open_.erase(found);
     line = line_;
@@ -104,21 +104,29 @@
 }
 
 void OfficeLink::queue(const std::shared_ptr<Line>& line, CallId call, Open& open) {
-  const std::uint32_t attempt = open.attempt;
-  // The text is kept: where the connection breaks before it has left, it goes on the next one.
-  const bool queued = line->outbox.push(
-      open.text, open.tag, [this, call, attempt, on = line.get()] { return may_leave(call, attempt, on); });
+  // What it says is kept: where the connection breaks before it has left, it goes on the next one.
+  const std::int64_t left_ms = whole_ms_left(open.set_up.give_up, net::now());
+  const bool queued =
+      line->outbox.push(start_line(open.set_up, open.class_name, left_ms), open.tag,
+                        [this, call, attempt = open.set_up.attempt, on = line.get(),
+                         left_ms](std::string& text) { return may_leave(call, attempt, on, left_ms, text); });
   if (!queued) line->fd.shut();  // the loop reports what was open
 }
 
 // The first byte counts for drains, so all is checked again as the set-up leaves the queue.
-bool OfficeLink::may_leave(CallId call, std::uint32_t attempt, const Line* on) {  // without the lock
+// Without the lock. `told_ms`: how long is left as `text` has it, which is written anew where less is left
+// now.
+bool OfficeLink::may_leave(CallId call, std::uint32_t attempt, const Line* on, std::int64_t told_ms,
+                           std::string& text) {
   {
     const std::lock_guard hold(lock_);
     const auto found = open_.find(call);
-    if (on != line_.get() || found == open_.end() || found->second.attempt != attempt) return false;
+    if (on != line_.get() || found == open_.end() || found->second.set_up.attempt != attempt) return false;
     const Time at = net::now();
-    if (reach_.ready() && at < found->second.give_up) {
+    const Open& open = found->second;
+    const std::int64_t left_ms = whole_ms_left(open.set_up.give_up, at);
+    if (reach_.ready() && left_ms > 0) {
+      if (left_ms < told_ms) text = start_line(open.set_up, open.class_name, left_ms);
       if (reach_.left(at)) look_in_time();
       core_.attempt_left();
       return found->second.left = true;
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -33,7 +33,7 @@
 
   // Not again after it was told as gone: what comes back under the id gets a new link.
   void listed(const core::OfficeEntry& office);
-  bool start(const core::SetUp& set_up, std::string text);  // false: the office has gone
+  bool start(const core::SetUp& set_up, const std::string& class_name);  // false: the office has gone
   void give_up(CallId call, std::uint32_t attempt);
   void release(CallId call);
   void keep(bool calls_stand);
@@ -53,14 +53,13 @@
     Time until{};
   };
   struct Open {
-    std::uint32_t attempt = 0;
+    core::SetUp set_up;
+    std::string class_name;
     std::uint64_t tag = 0;
-    Time give_up{};
     bool left = false;
-    std::string text;
   };
   void pump(const std::shared_ptr<Line>& line);
-  bool may_leave(CallId call, std::uint32_t attempt, const Line* on);
+  bool may_leave(CallId call, std::uint32_t attempt, const Line* on, std::int64_t told_ms, std::string& text);
   // What follows, with the lock held; on the loop's thread but for queue() and look_in_time().
   void queue(const std::shared_ptr<Line>& line, CallId call, Open& open);
   [[nodiscard]] Time dial_at() const { return reach_.dial_at(!open_.empty(), !owed_.empty()); }
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -44,7 +44,7 @@
     net::log_line("office " + net::office_name(id_) + " refuses connections: its calls are cut");
     core_.office_died(id_);
   }
-  for (const auto& [call, open] : lost) core_.send_failed(call, open.attempt, Ending::connect_failed);
+  for (const auto& [call, open] : lost) core_.send_failed(call, open.set_up.attempt, Ending::connect_failed);
 }
 
 void OfficeLink::up(net::Fd fd) {
@@ -78,7 +78,8 @@
   for (auto at = open_.begin(); at != open_.end();) {
     const auto next = std::next(at);
     if (at->second.left || !reach_.ready()) {
-      core_.send_failed(at->first, at->second.attempt, at->second.left ? Ending::reset : Ending::not_sent);
+      core_.send_failed(at->first, at->second.set_up.attempt,
+                        at->second.left ? Ending::reset : Ending::not_sent);
       open_.erase(at);
     }
     at = next;
--- a/src/platform/office_lines.cpp
+++ b/src/platform/office_lines.cpp
@@ -64,13 +64,15 @@
   return out;
 }
 
-std::string start_line(const core::SetUp& set_up, const std::string& class_name, Time at) {
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - at).count();
+std::int64_t whole_ms_left(Time give_up, Time at) {
+  return std::chrono::floor<std::chrono::milliseconds>(give_up - at).count();
+}
+
+std::string start_line(const core::SetUp& set_up, const std::string& class_name, std::int64_t left_ms) {
   return R"({"verb":"START","tag":")" + base::hex16(static_cast<std::uint64_t>(set_up.call)) +
          R"(","opts":{"class":)" + base::quoted(class_name) + R"(,"key":")" +
-         base::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left":")" +
-         std::to_string(std::max<std::int64_t>(left, 1)) + R"("},"blob":)" +
-         base::quoted(set_up.description) + "}\n";
+         base::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left":")" + std::to_string(left_ms) +
+         R"("},"blob":)" + base::quoted(set_up.description) + "}\n";
 }
 
 std::string finish_line(CallId call) {
--- a/src/platform/office_lines.h
+++ b/src/platform/office_lines.h
@@ -26,8 +26,10 @@
 };
 OfficeLine read_line(std::string_view text);
 
-// `at`: now, from which the office is told how long is left.
-std::string start_line(const core::SetUp& set_up, const std::string& class_name, Time at);
+// Whole milliseconds until `give_up`, rounded down: nobody is told of more time than there is. A set-up for
+// which this is not above 0 must not leave.
+std::int64_t whole_ms_left(Time give_up, Time at);
+std::string start_line(const core::SetUp& set_up, const std::string& class_name, std::int64_t left_ms);
 std::string finish_line(CallId call);  // given up, or over
 
 }  // namespace reeltack::platform
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "platform/link.h"
-#include "platform/office_lines.h"
 
 namespace reeltack::platform {
 
@@ -46,8 +45,7 @@
   const auto to = link(set_up.office);
   if (!to) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
   const std::string name = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
-  if (!to->start(set_up, start_line(set_up, name, net::now())))
-    core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  if (!to->start(set_up, name)) core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
 }
 void Offices::give_up(ServerId office, CallId call, std::uint32_t attempt) {
   if (const auto to = link(office)) to->give_up(call, attempt);
--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -102,8 +102,9 @@
   Words words;
   words.set_up.call_class = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
   words.set_up.number = static_cast<std::uint64_t>(set_up.number);
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - base::now()).count();
-  words.set_up.patience_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(left, 1, 3'600'000));
+  const auto left = std::chrono::floor<std::chrono::milliseconds>(set_up.give_up - base::now()).count();
+  if (left <= 0) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  words.set_up.patience_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(left, 3'600'000));
   words.set_up.first_choice = settings_.far_place;
   words.description = set_up.description;
   circuits::GroupActions actions;
--- a/src/ws/front.cpp
+++ b/src/ws/front.cpp
@@ -58,6 +58,11 @@
   return out;
 }
 
+// Rounded down: nobody is told of more time than there is.
+std::int64_t whole_ms_left(Time give_up) {
+  return std::chrono::floor<std::chrono::milliseconds>(give_up - net::now()).count();
+}
+
 }  // namespace
 
 class Connection final : public net::Peer {
@@ -376,13 +381,15 @@
 }
 
 // The first byte counts for drains, so all is checked again as the set-up leaves the queue.
-bool Front::may_leave(const core::SetUp& set_up) {
+bool Front::may_leave(const core::SetUp& set_up, std::int64_t told_ms, std::string& message) {
   {
     const std::lock_guard hold(lock_);
     Centrale& centrale = centrales_[set_up.office];
     const auto found = centrale.out.find(set_up.call);
     if (found == centrale.out.end() || found->second != set_up.attempt) return false;
-    if (centrale.entry.entry.state == ServerState::ready && net::now() < set_up.give_up) {
+    const std::int64_t left_ms = whole_ms_left(set_up.give_up);
+    if (centrale.entry.entry.state == ServerState::ready && left_ms > 0) {
+      if (left_ms < told_ms) message = text_frame(set_up_line(set_up, left_ms));
       core_.attempt_left();
       return true;
     }
@@ -392,19 +399,25 @@
   return false;
 }
 
-void Front::start(const core::SetUp& set_up) {
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(set_up.give_up - net::now()).count();
+std::string Front::set_up_line(const core::SetUp& set_up, std::int64_t left_ms) const {
   const auto& names = setup_.class_names;
-  const std::string line = R"({"type":"set-up","call":")" + id_of(set_up.call) + R"(","class":)" +
-                           quoted(set_up.call_class < names.size() ? names[set_up.call_class] : "") +
-                           R"(,"number":")" + net::hex16(static_cast<std::uint64_t>(set_up.number)) +
-                           R"(","left_ms":)" + std::to_string(std::max<std::int64_t>(left, 1)) +
-                           ",\"description\":" + quoted(set_up.description) + "}";
+  return R"({"type":"set-up","call":")" + id_of(set_up.call) + R"(","class":)" +
+         quoted(set_up.call_class < names.size() ? names[set_up.call_class] : "") + R"(,"number":")" +
+         net::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left_ms":)" + std::to_string(left_ms) +
+         ",\"description\":" + quoted(set_up.description) + "}";
+}
+
+void Front::start(const core::SetUp& set_up) {
+  const std::int64_t left_ms = whole_ms_left(set_up.give_up);
+  const std::string line = set_up_line(set_up, left_ms);
   const std::lock_guard hold(lock_);
   Centrale& centrale = centrales_[set_up.office];
   centrale.out[set_up.call] = set_up.attempt;
   const Socket socket = centrale.socket.lock();
-  if (socket && socket->tell(line, [this, set_up] { return may_leave(set_up); })) return;
+  const auto leaves = [this, set_up, left_ms](std::string& message) {
+    return may_leave(set_up, left_ms, message);
+  };
+  if (socket && socket->tell(line, leaves)) return;
   centrale.out.erase(set_up.call);
   core_.send_failed(set_up.call, set_up.attempt, Ending::connect_failed);
 }
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -59,7 +59,9 @@
   void register_centrale(const Socket& from, const net::Json& message);
   void lost(const Socket& socket);
   void tell(CallId call, std::string_view fields, bool last);
-  bool may_leave(const core::SetUp& set_up);
+  // Of a set-up whose message says that `told_ms` are left; writes it anew where less is left now.
+  bool may_leave(const core::SetUp& set_up, std::int64_t told_ms, std::string& message);
+  [[nodiscard]] std::string set_up_line(const core::SetUp& set_up, std::int64_t left_ms) const;
 
   core::Core& core_;
   core::OfficeList& list_;
--- a/tests/net/door_test.cpp
+++ b/tests/net/door_test.cpp
@@ -174,7 +174,7 @@
   Held held;
   held.peer->turn(false);
   bool checked = false;
-  ASSERT_TRUE(held.peer->push("message\n", 1, [&] {
+  ASSERT_TRUE(held.peer->push("message\n", 1, [&](std::string& /*bytes*/) {
     const std::uint64_t before = held.loop.counts().controls;
     EXPECT_TRUE(held.peer->behind());
     held.peer->turn(false);  // as the loop's own, beside the check
--- a/tests/platform/link_test.cpp
+++ b/tests/platform/link_test.cpp
@@ -189,5 +189,104 @@
   EXPECT_EQ(heard(second), "");
 }
 
+// What a START on the wire says is left for a call; -1: none came.
+class LeftOnTheWire : public Link {
+ protected:
+  static core::SetUp set_up(std::uint64_t call, Time give_up, std::string description = "d") {
+    core::SetUp out;
+    out.call = CallId{call};
+    out.attempt = 1;
+    out.office = kOffice;
+    out.give_up = give_up;
+    out.description = std::move(description);
+    return out;
+  }
+  void receive_buffer(int bytes) {
+    ::setsockopt(listening_.get(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
+  net::Fd connect_to_a_slow_reader() {
+    receive_buffer(4096);
+    return connect();
+  }
+  // Set-ups until one no longer leaves, for its peer reads nothing; then a small one behind it: that one's
+  // call.
+  std::uint64_t queue_behind_others(Time give_up) {
+    const std::string filler(40'000, 'f');
+    std::uint64_t call = 1;
+    for (; call < 1000 && core_->figures().backend_calls() == call - 1; ++call)
+      EXPECT_TRUE(link_->start(set_up(call, give_up, filler), "voice"));
+    EXPECT_LT(call, 1000U) << "a peer that does not read took all";
+    EXPECT_TRUE(link_->start(set_up(call, give_up), "voice"));
+    return call;
+  }
+  std::chrono::milliseconds left_in(const std::string& lines, std::uint64_t call) {
+    const std::size_t start = lines.find("\"START\",\"tag\":\"" + net::hex16(call));
+    const std::size_t at = start == std::string::npos ? start : lines.find("\"left\":\"", start);
+    return std::chrono::milliseconds(at == std::string::npos ? -1 : std::atoll(lines.c_str() + at + 8));
+  }
+};
+
+// A set-up that waits for a connection says, once there is one, what its caller still has, not what it had.
+TEST_F(LeftOnTheWire, IsWhatIsLeftAsTheSetUpLeaves) {
+  const Time give_up = net::now() + 60s;
+  ASSERT_TRUE(link_->start(set_up(1, give_up), "voice"));
+  net::pause_until(net::now() + 200ms);
+  const Time before = net::now();
+  const net::Fd up = connect();
+  const auto left = left_in(heard(up), 1);
+  EXPECT_GT(left, 0ms);
+  EXPECT_LE(left, give_up - before);
+}
+
+// Queued behind what its peer does not read for a while.
+TEST_F(LeftOnTheWire, IsWhatIsLeftAfterAWaitInTheQueue) {
+  const Time give_up = net::now() + 60s;
+  net::Fd up = connect_to_a_slow_reader();
+  const std::uint64_t call = queue_behind_others(give_up);
+  net::pause_until(net::now() + 200ms);
+  const Time before = net::now();
+  std::string lines;
+  for (int reads = 0; left_in(lines, call) < 0ms && reads < 10'000; ++reads) {
+    char chunk[65536];
+    const bool came = net::readable(up, net::now() + 10ms);
+    const ssize_t n = came ? ::recv(up.get(), chunk, sizeof chunk, 0) : 0;
+    if (n > 0) lines.append(chunk, static_cast<std::size_t>(n));
+    link_->turn(true);
+    // It had not read for 2 s, on a machine that stood still: the connection was ended, and the next is used.
+    if (came && n <= 0) up = connect();
+  }
+  EXPECT_GT(left_in(lines, call), 0ms);
+  EXPECT_LE(left_in(lines, call), give_up - before);
+}
+
+// The same until that connection breaks: it goes on the next one.
+TEST_F(LeftOnTheWire, IsWhatIsLeftOnTheConnectionAfterABreak) {
+  const Time give_up = net::now() + 60s;
+  net::Fd first = connect_to_a_slow_reader();
+  const std::uint64_t call = queue_behind_others(give_up);
+  net::pause_until(net::now() + 200ms);
+  const Time before = net::now();
+  receive_buffer(1 << 20);
+  const linger reset{1, 0};
+  ::setsockopt(first.get(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  first.reset();
+  link_->turn(true);
+  net::pause_until(net::now() + 30ms);
+  const net::Fd second = connect();
+  const auto left = left_in(heard(second), call);
+  EXPECT_GT(left, 0ms);
+  EXPECT_LE(left, give_up - before);
+}
+
+// Less than a millisecond can't be said on the wire: it does not leave.
+TEST_F(LeftOnTheWire, IsNeverMoreThanThereIs) {
+  EXPECT_EQ(platform::whole_ms_left(Time{10s}, Time{10s} - 1500us), 1);
+  EXPECT_EQ(platform::whole_ms_left(Time{10s}, Time{10s} - 999us), 0);
+  EXPECT_EQ(platform::whole_ms_left(Time{10s}, Time{10s} + 1us), -1);
+  ASSERT_TRUE(link_->start(set_up(1, net::now()), "voice"));
+  const net::Fd up = connect();
+  EXPECT_EQ(heard(up), "");
+}
+
 }  // namespace
 }  // namespace reeltack::test
