--- /dev/null
+++ b/tests/clocks/listed_starts_test.cpp
@@ -0,0 +1,84 @@
+// The list of endpoints, told starts while its wall clock is stepped: since when each process is said to run.
+#include <gtest/gtest.h>
+
+#include "core/office_list.h"
+
+namespace reeltack::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kOffset = std::chrono::hours(400'000);
+constexpr Duration kSteps[] = {-1h, -5s, 5s, 1h};
+
+// What the senders' side is told, which is before the core hears of it.
+class Told final : public OfficeSide {
+ public:
+  void listed(bool /*complete*/, const std::vector<OfficeEntry>& offices) override {
+    for (const OfficeEntry& o : offices) entries[o.entry.server] = o.entry;
+  }
+  void start(const SetUp& /*set_up*/) override {}
+  void give_up(ServerId /*office*/, CallId /*call*/, std::uint32_t /*attempt*/) override {}
+  void release(ServerId /*office*/, CallId /*call*/) override {}
+  void keep(ServerId /*office*/, bool /*calls_stand*/) override {}
+  std::map<ServerId, ServerEntry> entries;
+};
+
+class ListedStarts : public ::testing::Test {
+ protected:
+  ListedStarts() { core.start(told); }
+  ~ListedStarts() override { core.stop(); }
+  [[nodiscard]] OfficeEntry endpoint(std::uint32_t id, Duration age) const {
+    OfficeEntry out;
+    out.entry.server = ServerId{id};
+    out.entry.start = StartId{static_cast<std::uint64_t>((now.time_since_epoch() + kOffset - age) / 1ms)};
+    out.address = "127.0.0.1:1000";
+    return out;
+  }
+  [[nodiscard]] Duration age(std::uint32_t id) const {
+    return now - told.entries.at(ServerId{id}).started_at;
+  }
+
+  Time now{100h};
+  Duration step{};
+  Core core{Settings{}, 1};
+  Told told;
+  OfficeList list{core, [this] {
+                    return clocks::Reading{now, clocks::WallTime{now.time_since_epoch() + kOffset + step}};
+                  }};
+};
+
+TEST_F(ListedStarts, AreAgedOnceAndStayThroughEachStep) {
+  const OfficeEntry cold = endpoint(1, 3s);
+  const OfficeEntry warm = endpoint(2, 2h);
+  list.told(Source::platform, true, {cold, warm});
+  for (const Duration by : kSteps) {
+    step = by;
+    now += 1s;
+    list.followed();
+    list.told(Source::platform, true, {cold, warm});
+    EXPECT_EQ(now - told.entries.at(ServerId{1}).started_at, now - Time{100h} + 3s);
+    EXPECT_EQ(now - told.entries.at(ServerId{2}).started_at, now - Time{100h} + 2h);
+    EXPECT_EQ(told.entries.at(ServerId{1}).start, cold.entry.start) << "the process it was";
+  }
+}
+
+TEST_F(ListedStarts, RestartThatAFollowedDiscoveryTellsIsYoungAfterEachStep) {
+  list.told(Source::platform, true, {endpoint(1, 2h)});
+  for (const Duration by : kSteps) {
+    step = by;
+    now += 60s;
+    list.followed();
+    list.told(Source::platform, false, {endpoint(1, 1s)});
+    EXPECT_GE(age(1), 0s);
+    EXPECT_LE(age(1), clocks::kToldWithin);
+  }
+}
+
+TEST_F(ListedStarts, EndpointThatRegistersIsAgedToo) {
+  list.told(Source::registered, false, {endpoint(3, 20s)});
+  EXPECT_EQ(age(3), 20s);
+}
+
+}  // namespace
+}  // namespace reeltack::core
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -174,6 +174,7 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       ::dup2(ends[1], 2);
       ::setenv("PROXY_CONFIG", config.c_str(), 1);
+      for (const auto& [name, value] : environment_) ::setenv(name.c_str(), value.c_str(), 1);
       ::execl(REELTACK_BINARY, "reeltack", fronts.c_str(), nullptr);
       ::_exit(127);
     }
@@ -321,6 +322,7 @@
   }
   std::map<std::string, net::Fd> offices_;
   std::map<std::string, StandIn> peers_;
+  std::map<std::string, std::string> environment_;  // of the program, beside its own
   std::string known_;
   std::string seen_;
   net::Fd log_;
