--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -69,7 +69,7 @@
     net::log_line("office " + net::office_name(id_) + sign + ": its calls are cut");
     core_.office_died(id_);
   }
-  for (const auto& [call, open] : lost) core_.send_failed(call, open.attempt, Ending::connect_failed);
+  for (const auto& [call, open] : lost) core_.send_failed(call, open.set_up.attempt, Ending::connect_failed);
 }
 
 void OfficeLink::up(net::Fd fd) {
@@ -108,7 +108,8 @@
     // An answer that crosses the end lets the call stand there, where nobody wants it.
     if (at->second.left && !outdated_) owed_.emplace_back(at->first, finish_line(at->first));
     if (at->second.left || !reach_.ready()) {
-      core_.send_failed(at->first, at->second.attempt, at->second.left ? Ending::reset : Ending::not_sent);
+      core_.send_failed(at->first, at->second.set_up.attempt,
+                        at->second.left ? Ending::reset : Ending::not_sent);
       open_.erase(at);
     }
     at = next;
--- a/tests/crossings/endpoint_connections_test.cpp
+++ b/tests/crossings/endpoint_connections_test.cpp
@@ -95,7 +95,7 @@
   old.reset();
   turns();
   endpoint.link->release(CallId{0x99});  // no connection: owed to the process that goes
-  tell(endpoint, ServerState::ready, Time{5s});
+  tell(endpoint, ServerState::ready, StartId{5000});
   const net::Fd fresh = accept(endpoint);
   EXPECT_EQ(lines_until_now(endpoint, fresh), Lines{});
 }
@@ -108,7 +108,7 @@
   endpoint.link->turn(false);  // it connects, and is up as far as the kernel knows
   const net::Fd begun = net::accept_one(endpoint.listening, net::now() + 10s);
   ASSERT_TRUE(static_cast<bool>(begun));
-  tell(endpoint, ServerState::ready, Time{5s});
+  tell(endpoint, ServerState::ready, StartId{5000});
   EXPECT_TRUE(start(endpoint, kCall));
   const net::Fd fresh = accept(endpoint);
   EXPECT_TRUE(is(line(fresh), "START", kCall));
