Policy: send a cold server no more than servers of its size answer, not 1.25 times that

Cause: src/policy/tests.h kOverStood. In an overload all together were sent 0.7 * 1.25 = 0.875 of N in the mean, so that at N of 30 the rule's room for chance is about two of its deviations where work is spread widely. Change: the factor is gone (0.7 of N in the mean). It had kept cold servers going where all are cold, since what they answer was counted as if by whole servers and so fell from second to second; a cold server is now counted by the part of its share that it is sent (able_size_), so that an answer tells the rate of a warm one.

--- a/src/policy/outcomes.h
+++ b/src/policy/outcomes.h
@@ -18,7 +18,7 @@
     if (s != nullptr && frees_slot(*s, stands.call, stands.attempt))
       answered(*s, ours_off(*s, stands.elapsed));
     count(stood_);
-    if (total_size_ > 0.0) count(stood_by_size_, 1.0 / total_size_);
+    if (able_size_ > 0.0) count(stood_by_size_, 1.0 / able_size_);
     const auto call = calls_.find(stands.call);
     if (call != calls_.end()) count(class_stood_[call->second.told.call_class]);
     calls_.erase(stands.call);
--- a/src/policy/shared.h
+++ b/src/policy/shared.h
@@ -156,8 +156,9 @@
   std::map<std::string, Time> noted_;
   Rate first_tries_;
   Rate stood_;
-  Rate stood_by_size_;       // each counted by 1 / total_size_, as that was then
+  Rate stood_by_size_;       // each counted by 1 / able_size_, as that was then
   double total_size_ = 0.0;  // of the ready servers
+  double able_size_ = 0.0;   // the same, a cold one by the part of its share that it is sent
   std::map<std::uint32_t, Rate> class_tries_;
   std::map<std::uint32_t, Rate> class_stood_;
 };
--- a/src/policy/tests.h
+++ b/src/policy/tests.h
@@ -16,8 +16,6 @@
 constexpr double kColdPart = 0.7;  // of the cold server's told budget, for all gateways together
 // A turn there lapses after this part of the told span: 0.7 * (1 + 0.25) of the budget at once at the most.
 constexpr double kColdLapse = 0.25;
-// A cold server's part goes by no more first tries than so many times those that stood. Not measured.
-constexpr double kOverStood = 1.25;
 
 struct Tests : Shared {
   // The measured delay, or the age of the unanswered set-up if that is more.
@@ -59,6 +57,13 @@
     return set_.fall_span > Duration{} && s.told.started_at > Time{} && now_ < s.told.started_at + set_.ramp;
   }
 
+  // So many times its share a cold server is sent at its age; below 1 while it can't take a whole one.
+  [[nodiscard]] double cold_shares(const Server& s) const {
+    const double age = seconds(now_ - s.told.started_at) / std::max(seconds(set_.ramp), 1.0e-9);
+    const double warm = set_.cold_from + (1.0 - set_.cold_from) * std::clamp(age, 0.0, 1.0) * 0.5;
+    return kColdPart * set_.fall_multiple * warm;
+  }
+
   // EXCEPTION (cold server): sends are paced so that all gateways together stay under the told budget. This
   // one's part is its own long-run first tries, spread over the servers. It grows at half of a straight ramp;
   // a turn not taken lapses, or those saved up by hundreds would be spent in one blow. EXCEPTION (server not
@@ -67,11 +72,7 @@
   [[nodiscard]] Duration turn_interval(const Server& s) const {
     const double over = seconds(delay(s)) / std::max(kSoon * seconds(shortest_aim_), 1.0e-9);
     double shares = kShares / std::max(over * over, 1.0);
-    if (cold(s)) {
-      const double age = seconds(now_ - s.told.started_at) / std::max(seconds(set_.ramp), 1.0e-9);
-      const double warm = set_.cold_from + (1.0 - set_.cold_from) * std::clamp(age, 0.0, 1.0) * 0.5;
-      shares = std::min(shares, kColdPart * set_.fall_multiple * warm);
-    }
+    if (cold(s)) shares = std::min(shares, cold_shares(s));
     // Of the first tries no more count than servers of its size answered, also those that have gone since: a
     // fleet that cannot take them all is no measure.
     double share_interval = seconds(own_share_interval(s));
@@ -105,9 +106,14 @@
   }
   void note_shares() {
     total_size_ = 0.0;
-    for (const auto& [id, s] : servers_) total_size_ += listed_ready(s) ? size(s) : 0.0;
+    able_size_ = 0.0;
+    for (const auto& [id, s] : servers_) {
+      if (!listed_ready(s)) continue;
+      total_size_ += size(s);
+      able_size_ += size(s) * (cold(s) ? std::min(cold_shares(s), 1.0) : 1.0);
+    }
     tries_a_second_ = a_second(first_tries_);
-    stood_by_size_a_second_ = kOverStood * a_second(stood_by_size_, 1.0 / std::max(total_size_, 1.0e-6));
+    stood_by_size_a_second_ = a_second(stood_by_size_, 1.0 / std::max(able_size_, 1.0e-6));
   }
 
   double usual_lines_ = 1.0;
