Policy: of each class send a cold server no larger a part than is answered

Ruled out: the count of calls, which stayed at its 0.7 of N. Cause: src/policy/choice.h:34, the next call takes a free turn at a cold server, so it gets the mix of arrivals, while the pace (src/policy/tests.h, turn_interval) goes by what is answered: light calls only, many a second. The budget is one of work, which no controller is told. Change: a call may go to a cold server with the chance that its class has of an answer, compared with the class answered best (Tests::suits, in bind, rotation and relieve; by the golden ratio and the call's order, no random number). Then the work sent is a part of the work that warm servers answer, whatever the classes cost.

--- a/src/policy/choice.h
+++ b/src/policy/choice.h
@@ -26,8 +26,13 @@
   void bind(Call& call) {
     Server* first = nullptr;
     Server* any = nullptr;
+    Server* unsuited = nullptr;
     for (auto& [id, s] : servers_) {
       if (!open_to(call, s)) continue;
+      if (!suits(call, s)) {
+        unsuited = &s;
+        continue;
+      }
       if (s.told.place == call.told.destination) first = &s;
       if (any == nullptr || delay(s) < delay(*any)) any = &s;
       // A turn at a cold server lapses soon: the next call takes it.
@@ -38,7 +43,7 @@
     for (const double f : {kSpill, kMargin}) {
       if (Server* other = rotation(call, f, nullptr)) return enqueue(call, *other);
     }
-    if (first == nullptr || held(*first)) first = any;
+    if (first == nullptr || held(*first)) first = any != nullptr ? any : unsuited;
     if (first == nullptr) return wait_unbound(call);
     enqueue(call, *first);
   }
@@ -51,7 +56,7 @@
     double quickest = 0.0;
     std::vector<Server*> able;
     for (auto& [id, s] : servers_) {
-      if (&s == except || !open_to(call, s) || !has_room(call, s, f)) continue;
+      if (&s == except || !open_to(call, s) || !suits(call, s) || !has_room(call, s, f)) continue;
       able.push_back(&s);
       const double took = std::max(seconds(s.measured), 1.0e-6);
       quickest = quickest == 0.0 ? took : std::min(quickest, took);
--- a/src/policy/slots.h
+++ b/src/policy/slots.h
@@ -35,7 +35,7 @@
       if (!held(s) && drain < seconds(call.aim) * kSpill) return;
       Server* other = nullptr;
       for (auto& [oid, o] : servers_) {
-        if (&o == &s || !open_to(call, o) || !o.queue.empty() || !may_take(o)) continue;
+        if (&o == &s || !open_to(call, o) || !suits(call, o) || !o.queue.empty() || !may_take(o)) continue;
         if (other == nullptr || o.measured < other->measured) other = &o;
       }
       if (other == nullptr || !has_room(call, *other, kSpill)) return;
--- a/src/policy/tests.h
+++ b/src/policy/tests.h
@@ -16,6 +16,7 @@
 constexpr double kColdPart = 0.7;  // of the cold server's told budget, for all gateways together
 // A turn there lapses after this part of the told span: 0.7 * (1 + 0.25) of the budget at once at the most.
 constexpr double kColdLapse = 0.25;
+constexpr double kGoldenRatio = 0.6180339887498949;
 
 struct Tests : Shared {
   // The measured delay, or the age of the unanswered set-up if that is more.
@@ -96,6 +97,26 @@
     if (s.turn_at > now_ + 2 * interval) s.turn_at = now_ + spread(interval);
     return now_ >= s.turn_at;
   }
+  // EXCEPTION (cold server, classes that differ in work): its budget is one of work, which is not told. So of
+  // each class it gets no larger a part than is answered; by the mix of arrivals it would get what the others
+  // refuse. The golden ratio picks calls evenly without a random number.
+  [[nodiscard]] bool suits(const Call& call, const Server& s) const {
+    if (!cold(s)) return true;
+    const auto part = class_parts_.find(call.told.call_class);
+    return part == class_parts_.end() ||
+           std::fmod(static_cast<double>(call.order) * kGoldenRatio, 1.0) < part->second;
+  }
+  // The part of each class that is answered, compared with the class answered best.
+  void note_class_parts() {
+    double most = 0.0;
+    for (const auto& [id, tries] : class_tries_) {
+      const auto stood = class_stood_.find(id);
+      const double answered = stood == class_stood_.end() ? 0.0 : fade(stood->second);
+      class_parts_[id] = answered / std::max(fade(tries), 1.0e-9);
+      most = std::max(most, class_parts_[id]);
+    }
+    for (auto& [id, part] : class_parts_) part = most > 0.0 ? part / most : 1.0;
+  }
   // The mean time between this gateway's first tries to a server, were they spread by size.
   [[nodiscard]] Duration own_share_interval(const Server& s) const {
     return from_seconds(std::max(total_size_ / size(s), 1.0) / tries_a_second_);
@@ -107,16 +128,20 @@
   void note_shares() {
     total_size_ = 0.0;
     able_size_ = 0.0;
+    bool any_cold = false;
     for (const auto& [id, s] : servers_) {
       if (!listed_ready(s)) continue;
       total_size_ += size(s);
+      any_cold = any_cold || cold(s);
       able_size_ += size(s) * (cold(s) ? std::min(cold_shares(s), 1.0) : 1.0);
     }
+    if (any_cold) note_class_parts();
     tries_a_second_ = a_second(first_tries_);
     stood_by_size_a_second_ = a_second(stood_by_size_, 1.0 / std::max(able_size_, 1.0e-6));
   }
 
   double usual_lines_ = 1.0;
+  std::map<std::uint32_t, double> class_parts_;  // by class, as last noted while a server was cold
   double tries_a_second_ = 0.0;
   double stood_by_size_a_second_ = 0.0;
 };
