Pass releases by callers' connections that don't read, and keep those cut off unread

Observed, forced on sockets by the new tests: a release for a call whose connection does not read was queued behind what that caller had left unread (sip_releases.cpp, tell_over()). The connection is cut off 2 s later (net/buffers.cpp, kUnread), and the release counted as read since it was older than 1 s (sip_connection.h, kReleases.settled): it was lost for good, and late by 2 s in any case, though other connections were open.

Ruled out by tests that passed before: a release without any connection, one that crosses the caller's close, one on a half-closed connection.

Changed: a connection with unwritten output is taken for a release only where no other can take it.

Broken by hand, each found: the unwritten output, the 1 s (before the age was dropped), the age of what was cut off, the unheard and the owed releases. Not found by a test: the half close that comes between the look at the connection and the front's own reading of its end.

--- a/src/membership/releases.cpp
+++ b/src/membership/releases.cpp
@@ -26,4 +26,11 @@
   return out;
 }
 
+std::vector<std::pair<CallId, std::string>> Releases::unread() {
+  std::vector<std::pair<CallId, std::string>> out;
+  for (One& one : sent_) out.emplace_back(one.call, std::move(one.text));
+  sent_.clear();
+  return out;
+}
+
 }  // namespace reeltack::membership
--- a/src/membership/releases.h
+++ b/src/membership/releases.h
@@ -37,6 +37,8 @@
   void spoke(Time at);  // the far end has said anything
   // The connection has ended: those to be sent again, in their order. It begins anew.
   [[nodiscard]] std::vector<std::pair<CallId, std::string>> ended(Time at);
+  // The same where the far end did not read: however old, all go again.
+  [[nodiscard]] std::vector<std::pair<CallId, std::string>> unread();
   void forget() { sent_.clear(); }  // whoever was told is gone, and its calls with it
   [[nodiscard]] std::size_t size() const { return sent_.size(); }
 
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -45,7 +45,9 @@
   };
   void joined(net::Peer& connection);
   // A release on its way to a caller, on the connection or owed to the next; with the lock held.
-  bool tell_over(SipConnection& to, CallId call, const std::string& line);
+  enum class Takes { at_once, later };  // later: what was queued before it may not leave for a while
+  bool tell_over(SipConnection& to, CallId call, const std::string& line, Takes how);
+  bool tell_any(SipConnection* own, const SipConnection* except, CallId call, const std::string& line);
   void unheard(SipConnection& from);  // it has ended: what it may not have read goes by another
   bool take(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
   void heard(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
--- a/src/platform/sip_releases.cpp
+++ b/src/platform/sip_releases.cpp
@@ -9,23 +9,38 @@
   const std::lock_guard hold(lock_);
   auto& to = static_cast<SipConnection&>(connection);
   // One that has left before it was let in would take them with it.
-  std::erase_if(owed_, [&](const auto& release) { return tell_over(to, release.first, release.second); });
+  std::erase_if(
+      owed_, [&](const auto& release) { return tell_over(to, release.first, release.second, Takes::later); });
 }
 
-bool SipFront::tell_over(SipConnection& to, CallId call, const std::string& line) {
-  if (!to.listens() || !to.push(line)) return false;
+bool SipFront::tell_over(SipConnection& to, CallId call, const std::string& line, Takes how) {
+  if (!to.listens() || (how == Takes::at_once && to.behind()) || !to.push(line)) return false;
   to.releases_.sent(call, line, net::now());
   return true;
 }
 
+// A caller's connection that does not read would hold it for seconds, and then be cut off: any other one
+// comes first, though not `except`.
+bool SipFront::tell_any(SipConnection* own, const SipConnection* except, CallId call,
+                        const std::string& line) {
+  for (const Takes how : {Takes::at_once, Takes::later}) {
+    if (own != nullptr && tell_over(*own, call, line, how)) return true;
+    const bool taken = door_.offer([&](net::Peer& to) {
+      return &to != except && tell_over(static_cast<SipConnection&>(to), call, line, how);
+    });
+    if (taken) return true;
+  }
+  return false;
+}
+
 // A release that crossed its caller's close is lost with the connection, and nothing else tells of it.
 void SipFront::unheard(SipConnection& from) {
   const std::lock_guard hold(lock_);
-  for (auto& release : from.releases_.ended(net::now())) owed_.push_back(std::move(release));
+  const bool unread = from.why() == net::Peer::End::unread || from.why() == net::Peer::End::cut;
+  auto again = unread ? from.releases_.unread() : from.releases_.ended(net::now());
+  for (auto& release : again) owed_.push_back(std::move(release));
   std::erase_if(owed_, [this, &from](const auto& release) {
-    return door_.offer([&](net::Peer& to) {
-      return &to != &from && tell_over(static_cast<SipConnection&>(to), release.first, release.second);
-    });
+    return tell_any(nullptr, &from, release.first, release.second);
   });
 }
 
@@ -51,13 +66,10 @@
                     "\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=" + std::to_string(cause) +
                     "\r\nContent-Length: 0\r\n\r\n";
   const auto own = d.connection.lock();
-  const bool told = own && tell_over(*own, call, bye);
-  if (own) own->closed(call);
-  if (told) return;
   // No connection owns a standing call: any open one will do, or else the next.
-  const bool taken =
-      door_.offer([&](net::Peer& to) { return tell_over(static_cast<SipConnection&>(to), call, bye); });
-  if (!taken) owed_.emplace_back(call, std::move(bye));
+  const bool told = tell_any(own.get(), nullptr, call, bye);
+  if (own) own->closed(call);
+  if (!told) owed_.emplace_back(call, std::move(bye));
 }
 
 }  // namespace reeltack::platform
--- a/tests/membership/releases_test.cpp
+++ b/tests/membership/releases_test.cpp
@@ -57,5 +57,13 @@
   EXPECT_EQ(ended(r, 0s), "23");
 }
 
+TEST(Releases, OfAFarEndThatDidNotReadAllGoAgainHoweverOld) {
+  Releases r({.settled = 1s});
+  r.sent(CallId{1}, "a", at(0s));
+  r.sent(CallId{2}, "b", at(5s));
+  EXPECT_EQ(r.unread().size(), 2U);
+  EXPECT_EQ(ended(r, 5s), "");
+}
+
 }  // namespace
 }  // namespace reeltack::membership
