--- a/tests/crossings/endpoint_connections_test.cpp
+++ b/tests/crossings/endpoint_connections_test.cpp
@@ -58,6 +58,55 @@
   EXPECT_GE(net::now() - ended, 300ms);
 }
 
+// After a quiet time the process is gone: its end is met by the first write, and nobody listens any more. The
+// call never left, so that one which must not run twice goes to another endpoint.
+TEST_F(EndpointConnections, FirstCallAfterAQuietTimeWhoseEndpointIsGoneGoesToAnother) {
+  FakeEndpoint& first = add(1);
+  net::Fd idle = connected(first);
+  first.held = true;
+  idle.reset();
+  first.listening.reset();
+  request(kCall, 9s, kOnce);
+  ASSERT_TRUE(links_.await_start(first.id, kCall));
+  FakeEndpoint& second = add(2);
+  const net::Fd other = connected(second);
+  first.held = false;
+  ASSERT_TRUE(is(line(other), "START", kCall));
+  say(other, started_line(kCall));
+  turns();
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  EXPECT_EQ(callers_.events(kCall), Lines{"stands sdp"});
+}
+
+// The connection comes up only after the call's deadline: the caller has its one answer by then, and nothing
+// of the call is sent.
+TEST_F(EndpointConnections, ConnectionThatComesUpAfterTheDeadlineCarriesNothingOfTheCall) {
+  FakeEndpoint& endpoint = add(1);
+  endpoint.held = true;  // as far as the link knows it is still connecting
+  tell(endpoint, ServerState::ready);
+  request(kCall, 300ms);
+  ASSERT_TRUE(links_.await_start(endpoint.id, kCall));
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  endpoint.held = false;
+  const net::Fd late = accept(endpoint);
+  EXPECT_EQ(lines_until_now(endpoint, late), Lines{});
+  EXPECT_EQ(callers_.events(kCall).size(), 1U);
+}
+
+// The same where the caller gives up long before its deadline.
+TEST_F(EndpointConnections, ConnectionThatComesUpAfterTheCallWasGivenUpCarriesNothingOfIt) {
+  FakeEndpoint& endpoint = add(1);
+  endpoint.held = true;
+  tell(endpoint, ServerState::ready);
+  request(kCall);
+  ASSERT_TRUE(links_.await_start(endpoint.id, kCall));
+  core_->give_up(kCall, callers_);
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  endpoint.held = false;
+  const net::Fd late = accept(endpoint);
+  EXPECT_EQ(lines_until_now(endpoint, late), Lines{});
+}
+
 // The first connection does not come up, and the endpoint drains meanwhile: the call need not wait for
 // either.
 TEST_F(EndpointConnections, DrainWhileConnectingFreesWhatWaitsForTheConnection) {
