--- a/src/standin/pipe.cpp
+++ b/src/standin/pipe.cpp
@@ -7,6 +7,8 @@
 #include <cstring>
 #include <ctime>
 
+#include "base/wall_clock.h"
+
 namespace reeltack::standin {
 namespace {
 
@@ -25,10 +27,10 @@
   for (cmsghdr* part = CMSG_FIRSTHDR(&message); part != nullptr; part = CMSG_NXTHDR(&message, part)) {
     if (part->cmsg_level != SOL_SOCKET || part->cmsg_type != SCM_TIMESTAMPNS) continue;
     timespec stamped{};
-    timespec now{};
     std::memcpy(&stamped, CMSG_DATA(part), sizeof stamped);
-    ::clock_gettime(CLOCK_REALTIME, &now);
-    return base::now() - std::max(span_of(now) - span_of(stamped), Duration{});
+    const clocks::Reading now = base::read_clocks();
+    const base::WallTime arrived{span_of(stamped)};
+    return now.steady - std::max(now.wall - arrived, Duration{});
   }
   return std::nullopt;
 }
