Notice a close while nothing is read, and release a call whose answer left in part

Observed: src/net/peer.cpp arm() asks for no reading while a caller leaves its answers unread, so that a half-close behind them was noticed by the limit of 2 s alone; until then its queued calls could be sent. A reset was noticed at once (EPOLLERR shows unasked). Change: the close is looked for each 50 ms while nothing is read. A close that the kernel does not hold, because its receive buffer is full, can't be seen and is left to the limit. Observed: an answer that was queued behind unread bytes counted as passed on; when the connection then broke, the call stood at its endpoint for a caller that can't have its answer. Change: Peer keeps the calls that stand until their answers are written whole; those left at the end of the connection are released to their endpoints (SipConnection::unanswered()).

--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -136,6 +136,10 @@
   const std::lock_guard hold(lock_);
   return !closed_ && (busy_ || !leaving_.empty() || !items_.empty());
 }
+bool Outbox::broken() const {
+  const std::lock_guard hold(lock_);
+  return closed_;
+}
 bool Outbox::blocked() const {
   const std::lock_guard hold(lock_);
   return !closed_ && !leaving_.empty();
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -56,6 +56,7 @@
   // waited for so, since a socket that takes all would show at once, and again, until its writer comes.
   [[nodiscard]] bool blocked() const;
   [[nodiscard]] bool crowded() const;  // so much that no more should be read of its peer
+  [[nodiscard]] bool broken() const;   // nothing leaves any more
   [[nodiscard]] bool unread() const;   // it broke because a message was not read in time
   [[nodiscard]] Time due() const;      // by when its peer must have read what is being written
 
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -7,6 +7,8 @@
 
 // A peer that has said nothing for so long may be spared: usual ones send as soon as they are connected.
 constexpr Duration kShy = std::chrono::milliseconds(250);
+// While nothing is read of a peer, its close shows by no event, and is looked for so often.
+constexpr Duration kLookForClose = std::chrono::milliseconds(50);
 // Reads of what a broken connection had still brought, of some KB each.
 constexpr int kMostRest = 32;
 
@@ -28,7 +30,12 @@
     if (stage_ == Stage::reading) read_rest();
     if (stage_ == Stage::reading || stage_ == Stage::answering) abandon_open(why);
   }
+  note_written();
   if (stage_ == Stage::reading && ready && !outbox_.crowded()) read();
+  if (stage_ == Stage::reading && outbox_.crowded() && fd_.far_end_closed()) {
+    read_rest();
+    end_reading(End::peer);
+  }
   if (stage_ == Stage::reading) keep_to_limits();
   if (stage_ == Stage::answering) answer_open();
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
@@ -101,6 +108,7 @@
   const bool kept = loop_->watch(id_, fd_, reads, outbox_.blocked());
   Time at = outbox_.due();
   if (stage_ == Stage::reading) at = std::min(at, patience_.next());
+  if (stage_ == Stage::reading && !reads) at = std::min(at, now() + kLookForClose);
   if (stage_ == Stage::draining) at = std::min(at, drained_by_);
   loop_->due(id_, at);
   if (!kept) {  // the kernel would not tell of it
@@ -135,12 +143,14 @@
 void Peer::stood(CallId call) {
   const std::lock_guard hold(lock_);
   if (open_.erase(call) > 0) standing_.insert(call);
+  if (outbox_.behind()) unwritten_.insert(call);
   if (closing_ != Closing::no || answering_) loop_->wake(id_);
 }
 void Peer::closed(CallId call) {
   const std::lock_guard hold(lock_);
   open_.erase(call);
   standing_.erase(call);
+  unwritten_.erase(call);
   if (closing_ != Closing::no || answering_) loop_->wake(id_);
 }
 Peer::Spare Peer::spare() const {
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -74,6 +74,9 @@
   virtual Next quiet() { return Next::more; }
   // Once, with the set-ups that are open here: the far end has closed, or nothing more is read or answered.
   virtual void left(const std::set<CallId>& open) = 0;
+  // Once, where there are any, as the connection is over: calls that stand, whose answers did not leave
+  // whole, so that the far end knows it has none.
+  virtual void unanswered(const std::set<CallId>& /*standing*/) {}
   // Whether set-ups that are open get their answers before the connection ends, where its far end has closed
   // its own way only, or was not understood. Else they are left with the last read.
   [[nodiscard]] virtual bool answers_open() const { return false; }
@@ -94,6 +97,7 @@
   void abandon_open(End why);
   void tell_left();
   bool drop_input();
+  void note_written();
   void finish_writing(Outbox::Flushed how);
   void drain();
   void end();
@@ -120,6 +124,7 @@
   mutable std::mutex lock_;
   std::set<CallId> open_;
   std::set<CallId> standing_;
+  std::set<CallId> unwritten_;  // of these, with their answers not yet written whole
   std::atomic<Duration::rep> heard_{connected_.time_since_epoch().count()};
   std::atomic<bool> retiring_{false};
   std::atomic<bool> answering_{
--- a/src/net/peer_ending.cpp
+++ b/src/net/peer_ending.cpp
@@ -58,9 +58,17 @@
   left(open);
 }
 
+// Once nothing is queued, all that was said has left whole.
+void Peer::note_written() {
+  const std::lock_guard hold(lock_);
+  if (!unwritten_.empty() && stage_ != Stage::over && !outbox_.behind() && !outbox_.broken())
+    unwritten_.clear();
+}
+
 void Peer::finish_writing(Outbox::Flushed how) {
   if (how == Outbox::Flushed::broken) return end();
   if (how != Outbox::Flushed::done) return;
+  note_written();
   // The peer may still be sending: closing the other way too would have it reset, and the last answer lost.
   fd_.shut_write();
   if (!drains_) return end();
@@ -92,6 +100,12 @@
   loop_->unwatch(fd_);
   loop_->remove(id_);
   over_ = true;
+  std::set<CallId> unwritten;
+  {
+    const std::lock_guard hold(lock_);
+    unwritten.swap(unwritten_);
+  }
+  if (!unwritten.empty()) unanswered(unwritten);
   if (ended_) ended_(*this);
 }
 
--- a/src/platform/sip_connection.h
+++ b/src/platform/sip_connection.h
@@ -49,6 +49,9 @@
     for (const CallId call : open) front_.asker_left(*this, call);
     front_.unheard(*this);
   }
+  void unanswered(const std::set<CallId>& standing) override {
+    for (const CallId call : standing) front_.core_.release(call, front_);
+  }
   [[nodiscard]] bool answers_open() const override { return true; }
 
  private:
--- a/tests/crossings/caller_close_test.cpp
+++ b/tests/crossings/caller_close_test.cpp
@@ -58,7 +58,9 @@
   EXPECT_EQ(endpoints_.starts_of(kQueued), 0U);
   EXPECT_EQ(core_->open_calls(), 0U);
   expect_final(caller, 2);
-  if (GetParam() != How::cancel) EXPECT_TRUE(await_over(caller));
+  if (GetParam() != How::cancel) {
+    EXPECT_TRUE(await_over(caller));
+  }
 }
 
 // The loop is behind: the core has the queued call's turn before the leaving is read.
--- a/tests/crossings/shutdown_process_test.cpp
+++ b/tests/crossings/shutdown_process_test.cpp
@@ -175,7 +175,9 @@
     c.send("INVITE " + net::hex16(static_cast<std::uint64_t>(100 + asked)) +
            " Subject:voice X-Patience:0 | d");
     answer = c.next();
-    if (answer != "end") EXPECT_NE(answer.find("SIP/2.0 408"), std::string::npos) << answer;
+    if (answer != "end") {
+      EXPECT_NE(answer.find("SIP/2.0 408"), std::string::npos) << answer;
+    }
   }
   EXPECT_EQ(answer, "end");
   expect_ends_well();
