--- a/tests/crossings/retry_test.cpp
+++ b/tests/crossings/retry_test.cpp
@@ -93,6 +93,28 @@
   EXPECT_EQ(endpoints_.released(kCall), 1U);
 }
 
+// Refused as full and the connection closed, in one read: the first counts, and the call goes once to the
+// other.
+TEST_F(RetryCrossings, RefusalAndResetInOneBatchCountOnce) {
+  run(usual_settings(), {kFirst, kSecond});
+  endpoints_.hold(true);
+  request(kCall, 8s);
+  ASSERT_TRUE(endpoints_.await_starts(1));
+  const ServerId full = endpoints_.start_of(0).office;
+  constexpr int kFull = 34;
+  core_->ended({full, kCall, kFull, "blocked", {}});
+  core_->send_failed(kCall, 0, Ending::reset);
+  endpoints_.hold(false);
+  ASSERT_TRUE(endpoints_.await_starts(2));
+  EXPECT_NE(endpoints_.start_of(1).office, full);
+  core_->send_failed(kCall, 0, Ending::reset);  // late: it is not of the attempt that is out now
+  core_->answered(endpoints_.start_of(1).office, kCall, "d");
+  EXPECT_TRUE(callers_.await_answer(kCall).stands);
+  settle(*core_);
+  EXPECT_EQ(endpoints_.starts(), 2U);
+  EXPECT_EQ(endpoints_.given_up(kCall), 0U);
+}
+
 // Less left than an answer needs to be on its way: answered at once, and never sent.
 TEST_F(RetryCrossings, CallWithNextToNoTimeIsAnsweredAndNotSent) {
   run(usual_settings(), {kFirst, kSecond});
