Bound a log that cannot be carried over, and notice files taken away under the open store

Observed: SQLite's own checkpoint drops its errors, so that a disk which writes the log and not the file let the log grow without bound and without a word (contents.cpp, apply()); and a write into files that were removed or replaced under the open store (a folder emptied or mounted over) was acknowledged, though no next start could find it. Now a log of 16 MiB must be carried over before the next write, which fails with the reason where it cannot; and after each commit the folder's two names must still be the open files, else the store is given up, opened anew, and all is written again.

Tests: KeeperDisk.ALogThatCannotBeCarriedOverIsBounded, KeeperDisk.FilesThatAreNoLongerThoseOfTheFolderAreNotTakenForKept (file, log, folder removed).

--- a/src/store/contents.cpp
+++ b/src/store/contents.cpp
@@ -135,10 +135,28 @@
         {&take, "DELETE FROM record WHERE key=?1"}}) {
     if (rc = statement->prepare(database.handle(), sql); rc != SQLITE_OK) return fail(rc);
   }
+  database_id = Folder(settings.dir, nullptr).id("store.db");
+  log_id.reset();
   database.tidy_at_close(true);
   return {};
 }
 
+Written Contents::bound_log() {
+  if (Folder(settings.dir, nullptr).size("store.db-wal") < settings.most_log_bytes) return {};
+  const int rc =
+      sqlite3_wal_checkpoint_v2(database.handle(), nullptr, SQLITE_CHECKPOINT_TRUNCATE, nullptr, nullptr);
+  return rc == SQLITE_OK ? Written{}
+                         : fail(why_of(rc), "its log cannot be carried over: " + database.error());
+}
+
+Written Contents::still_there() {
+  const Folder folder(settings.dir, nullptr);
+  const auto log = folder.id("store.db-wal");
+  if (!log_id) log_id = log;
+  if (folder.id("store.db") == database_id && log && log == log_id) return {};
+  return fail(Why::damaged, "or its log was removed or replaced while it was open");
+}
+
 // The new sums are worked out beside the old ones, which stay until the disk has said yes.
 Written Contents::apply(const std::map<std::string_view, const Change*>& last, Time at) {
   Seal next = seal;
--- a/src/store/contents.h
+++ b/src/store/contents.h
@@ -6,6 +6,7 @@
 
 #include <map>
 
+#include "store/folder.h"
 #include "store/lock.h"
 #include "store/record.h"
 #include "store/sqlite.h"
@@ -25,6 +26,7 @@
   Statement begin, commit, rollback, put, take;
   std::map<std::string, std::uint64_t> sums;  // each record's checksum
   Seal seal;
+  std::optional<FileId> database_id, log_id;  // of the files that are open
   bool damaged = false;
 
   [[nodiscard]] Written fail(Why why, const std::string& text) const { return {why, file + ": " + text}; }
@@ -35,6 +37,10 @@
   Written set_up();
   Written make();
   Written prove(std::vector<Kept>& kept);
+  // A log that cannot be carried over (its disk writes, the file's does not) must not grow for ever.
+  Written bound_log();
+  // Whether what was written is where the next opening will look for it.
+  Written still_there();
   // One transaction, durable where ok(); keys and sizes are checked before.
   Written apply(const std::map<std::string_view, const Change*>& last, Time at);
   std::string sealed(const Seal& value, Time at) const {
--- a/src/store/folder.cpp
+++ b/src/store/folder.cpp
@@ -65,6 +65,12 @@
                                                                    : 0;
 }
 
+std::optional<FileId> Folder::id(std::string_view name) const {
+  struct stat s {};
+  if (::stat((dir_ + "/" + std::string(name)).c_str(), &s) != 0) return std::nullopt;
+  return FileId{s.st_dev, s.st_ino};
+}
+
 bool Folder::set_aside(std::string& where, std::string& why) const {
   const std::string file = dir_ + "/store.db";
   int number = 1;
--- a/src/store/folder.h
+++ b/src/store/folder.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,11 @@
 
 namespace reeltack::store {
 
+struct FileId {
+  std::uint64_t device = 0, inode = 0;
+  bool operator==(const FileId&) const = default;
+};
+
 class Folder {
  public:
   Folder(std::string dir, Faults* faults) : dir_(std::move(dir)), faults_(faults) {}
@@ -21,6 +27,8 @@
   Lock::Got lock(Lock& lock, std::string& why) const;
   bool sync(std::string& why) const;
   [[nodiscard]] std::uint64_t size(std::string_view name) const;  // 0 where there is none
+  // Which file stands under a name; two files that are there at once differ. Nothing where there is none.
+  [[nodiscard]] std::optional<FileId> id(std::string_view name) const;
   // Renames the journal, the file and the log, in this order: cut off between, what is left is a log without
   // its file, which is known for what it is. The other way a file without its log could be read as older than
   // it is.
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -123,7 +123,9 @@
     }
     last[c.key] = &c;
   }
-  Written done = in.apply(last, written_at);
+  Written done = in.bound_log();
+  if (done.ok()) done = in.apply(last, written_at);
+  if (done.ok()) done = in.still_there();
   if (done.why == Why::damaged) {
     in.damaged = true;
     in.database.tidy_at_close(false);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -31,15 +31,16 @@
 inline constexpr std::size_t kMostName = 64;                        // bytes of a fleet's or owner's name
 
 struct StoreSettings {
-  std::string dir;                                 // made where it is missing (its parent must be there)
-  std::string fleet;                               // stands beside each record written
-  std::string owner;                               // this controller's name; a copied file tells by it
-  std::uint16_t format = 1;                        // of the values, as the writer understands them
-  std::size_t most_bytes = std::size_t{64} << 20;  // of store.db; beyond it a write is `full`
-  std::size_t most_records = 4096;                 // beyond it a write is `full`
-  int checkpoint_pages = 256;                      // of 4 KiB: the log is carried over from this size on
-  std::string vfs;                                 // for tests: the name of an SQLite VFS; else the system's
-  Faults* faults = nullptr;                        // for tests: outlives the store
+  std::string dir;                                     // made where it is missing (its parent must be there)
+  std::string fleet;                                   // stands beside each record written
+  std::string owner;                                   // this controller's name; a copied file tells by it
+  std::uint16_t format = 1;                            // of the values, as the writer understands them
+  std::size_t most_bytes = std::size_t{64} << 20;      // of store.db; beyond it a write is `full`
+  std::size_t most_records = 4096;                     // beyond it a write is `full`
+  int checkpoint_pages = 256;                          // of 4 KiB: the log is carried over from this size on
+  std::size_t most_log_bytes = std::size_t{16} << 20;  // a log that cannot be carried over grows to this
+  std::string vfs;           // for tests: the name of an SQLite VFS; else the system's
+  Faults* faults = nullptr;  // for tests: outlives the store
 };
 
 // A change of one key: its new value, or nothing to take it away.
@@ -64,7 +65,8 @@
   too_big,   // a key, a value or a name over its bound; nothing was tried
   full,      // the disk, or this store's own bounds; nothing was changed
   io,        // the machine refused (permission, EIO, memory): may pass
-  damaged,   // the content is wrong: this store writes no more; open anew, which sets it aside
+  damaged,   // the content is wrong, or the files are no longer those of the folder: this store writes no
+             // more; open anew, which sets aside what is wrong
   disputed,  // another process has it
 };
 std::string_view name(Why why);
--- a/tests/store/keeper_disk_test.cpp
+++ b/tests/store/keeper_disk_test.cpp
@@ -150,6 +150,44 @@
   EXPECT_EQ(state_of(Store::open(c.store)), (State{{"a", "new"}}));
 }
 
+TEST(KeeperDisk, ALogThatCannotBeCarriedOverIsBounded) {
+  Case c;
+  c.store.most_log_bytes = 200'000;
+  std::atomic<bool> fails{true};
+  Opened opened = Store::open(c.store);
+  c.vfs.hook = [&](const FileStep& s) {
+    const bool database = s.file.size() > 8 && s.file.compare(s.file.size() - 8, 8, "store.db") == 0;
+    return fails && database && s.before && s.what == "write" ? SQLITE_IOERR_WRITE : SQLITE_OK;
+  };
+  Keeper keeper(c.store, std::move(opened), c.keeper);
+  for (int i = 0; i < 60 && keeper.counts().failures == 0; ++i) {
+    keeper.put("a", value(i, 9000));
+    keeper.flush(10ms);
+  }
+  const KeeperEvent failed = c.expect(Kind::failed);
+  EXPECT_NE(failed.text.find("log cannot be carried over"), std::string::npos) << failed.text;
+  EXPECT_LT(fs::file_size(c.store.dir + "/store.db-wal"), 250'000u);
+  fails = false;
+  EXPECT_TRUE(keeper.flush(kLong)) << c.heard.text();
+  c.expect(Kind::written);
+}
+
+TEST(KeeperDisk, FilesThatAreNoLongerThoseOfTheFolderAreNotTakenForKept) {
+  for (const char* gone : {"/store.db", "/store.db-wal", ""}) {
+    Case c;
+    Opened opened = Store::open(c.store);
+    {
+      Keeper keeper(c.store, std::move(opened), c.keeper);
+      keeper.put("a", "1");
+      ASSERT_TRUE(keeper.flush(kLong));
+      fs::remove_all(c.store.dir + gone);
+      keeper.put("b", "2");
+      ASSERT_TRUE(keeper.flush(kLong)) << c.heard.text();
+    }
+    EXPECT_EQ(state_of(Store::open(c.store)), (State{{"a", "1"}, {"b", "2"}})) << gone;
+  }
+}
+
 // ---- each call to the disk fails, for a while and until it is repaired
 
 constexpr int kBatches = 4;
