--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -72,7 +72,7 @@
     const auto next = std::next(at);
     const Open& open = at->second;
     if (!open.left && (!line_ || line_->outbox.withdraw(open.tag))) {
-      core_.send_failed(at->first, open.attempt, Ending::not_sent);
+      core_.send_failed(at->first, open.set_up.attempt, Ending::not_sent);
       open_.erase(at);
     }
     at = next;
@@ -233,7 +233,7 @@
   if (const auto found = open_.find(line.call); found != open_.end()) {
     if (!found->second.left) return;  // of an attempt before, whose end is written or owed
     if (line.verb == Verb::finish && found->second.follows_give_up)
-      return core_.send_failed(line.call, found->second.attempt, Ending::reset);
+      return core_.send_failed(line.call, found->second.set_up.attempt, Ending::reset);
     open_.erase(found);
   }
   if (line.verb == Verb::finish)
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -42,7 +42,7 @@
   room_by_ = net::kNever;
   net::log_line("endpoint " + net::office_name(id_) + ": this host has no room for a connection to it");
   for (const auto& [call, open] : std::exchange(open_, {}))
-    core_.send_failed(call, open.attempt, Ending::not_sent);
+    core_.send_failed(call, open.set_up.attempt, Ending::not_sent);
 }
 
 void OfficeLink::look_at_dial() {
--- a/tests/crossings/endpoint_world.h
+++ b/tests/crossings/endpoint_world.h
@@ -83,7 +83,7 @@
     for (const core::OfficeEntry& o : offices) of(o.entry.server).listed(o);
   }
   void start(const core::SetUp& set_up) override {
-    if (!of(set_up.office).start(set_up, platform::start_line(set_up, "voice", net::now())))
+    if (!of(set_up.office).start(set_up, "voice"))
       core_->send_failed(set_up.call, set_up.attempt, Ending::not_sent);
     const std::lock_guard hold(lock_);
     started_.emplace_back(set_up.office, set_up.call);
@@ -224,7 +224,7 @@
                     const std::string& filler = "") {
     core::SetUp wanted = set_up(endpoint, call, attempt);
     wanted.description += filler;
-    return endpoint.link->start(wanted, platform::start_line(wanted, "voice", net::now()));
+    return endpoint.link->start(wanted, "voice");
   }
 
   FakeCallers callers_;
