Test the module's rules on attempts: callers that left, the release guard, five at most

Observed: no test held a caller's leaving while its call waits, within the release guard and before an attempt's end; a deadline that passes within the guard; the cap with attempts that go on failing; the guard at 0 and 5 s and after each of time-out, reset and cancelled. Added, with the clock told (tests/attempt_rules_test.cpp, 14 tests). No fault was found. Seen to fail by hand-made breaks, each put back: the call kept after CallerLeft (src/policy/finals.h:57; 3 tests), a guard a tenth shorter (src/policy/outcomes.h:96; 3), one attempt more than the cap (src/policy/slots.h:83; 1), no final answer where the guard ends past the deadline (src/policy/outcomes.h:98; 1).

--- /dev/null
+++ b/tests/attempt_rules_test.cpp
@@ -0,0 +1,127 @@
+// Rules on attempts with the clock told: callers that left, deadlines within the release guard, the most
+// attempts, and the guard itself at several lengths.
+#include <algorithm>
+
+#include "gateway.h"
+
+namespace reeltack::test {
+namespace {
+
+Settings with_guard(Duration guard) {
+  Settings s = plain_settings();
+  s.release_guard = guard;
+  s.attempts_cap = 5;
+  return s;
+}
+
+std::size_t final_answers(const Gateway& g, std::uint64_t id) {
+  return static_cast<std::size_t>(std::count(g.refused.begin(), g.refused.end(), id) +
+                                  std::count(g.failed.begin(), g.failed.end(), id));
+}
+
+TEST(CallerLeft, NoAttemptFollowsForACallThatWaited) {
+  Gateway g;
+  g.list({ready(10, 0)});
+  g.arrive(1);
+  g.arrive(2);  // waits for the slot that 1 holds
+  g.leaves(2);
+  g.pass(50ms);
+  g.stands(1);
+  g.pass(3s);
+  EXPECT_EQ(g.sent_count(2), 0U);
+  EXPECT_EQ(final_answers(g, 2), 0U);
+  EXPECT_EQ(g.open_calls(), 0U);
+}
+
+TEST(CallerLeft, NoAttemptFollowsWithinTheReleaseGuard) {
+  Gateway g(with_guard(300ms));
+  g.list({ready(10, 0), ready(11, 1)});
+  g.arrive(1);
+  g.pass(100ms);
+  g.ends(1, Ending::reset);
+  g.pass(100ms);
+  g.leaves(1);
+  g.pass(3s);
+  EXPECT_EQ(g.sent_count(1), 1U);
+  EXPECT_EQ(final_answers(g, 1), 0U);
+}
+
+TEST(CallerLeft, NoAttemptFollowsTheEndOfOneThatWasOut) {
+  for (const Ending ending : {Ending::full, Ending::connect_failed, Ending::timeout, Ending::reset}) {
+    Gateway g;
+    g.list({ready(10, 0), ready(11, 1)});
+    g.arrive(1);
+    g.pass(50ms);
+    g.leaves(1);
+    g.ends(1, ending);
+    g.pass(3s);
+    EXPECT_EQ(g.sent_count(1), 1U);
+    EXPECT_EQ(final_answers(g, 1), 0U);
+  }
+}
+
+TEST(ReleaseGuard, ACallWhoseDeadlinePassesWithinItGetsOneFinalAnswer) {
+  for (const Duration stays :
+       {Duration{250ms}, Duration{300ms}, Duration{399ms}, Duration{400ms}, Duration{401ms}}) {
+    Gateway g(with_guard(300ms));
+    g.list({ready(10, 0), ready(11, 1)});
+    g.arrive(1, 0, 0, stays);
+    g.pass(100ms);
+    g.ends(1, Ending::timeout);
+    g.pass(5s);
+    EXPECT_EQ(g.sent_count(1), 1U) << stays.count();
+    EXPECT_EQ(final_answers(g, 1), 1U) << stays.count();
+    EXPECT_EQ(g.open_calls(), 0U) << stays.count();
+  }
+}
+
+TEST(Attempts, AreFiveAtTheMost) {
+  Settings s = with_guard(Duration{});
+  s.classes[0].aim = 8s;
+  s.classes[1].aim = 8s;
+  Gateway g(s);
+  std::vector<ServerEntry> servers;
+  for (std::uint32_t i = 0; i < 12; ++i) servers.push_back(ready(10 + i, i));
+  g.list(servers);
+  g.arrive(1, 0, 0, 9s);
+  for (std::size_t ended = 0; g.now < Time{109s}; g.pass(10ms)) {
+    if (g.sent_count(1) == ended) continue;
+    ++ended;
+    g.pass(20ms);
+    g.ends(1, Ending::reset);
+  }
+  EXPECT_EQ(g.sent_count(1), 5U);
+  EXPECT_EQ(final_answers(g, 1), 1U);
+}
+
+struct Guard {
+  Duration length;
+  Ending ending;
+};
+class ReleaseGuards : public ::testing::TestWithParam<Guard> {};
+
+TEST_P(ReleaseGuards, AreKeptToTheirEndAndNoLonger) {
+  const auto [guard, ending] = GetParam();
+  Settings s = with_guard(guard);
+  s.classes[0].aim = 8s;
+  Gateway g(s);
+  g.list({ready(10, 0), ready(11, 1)});
+  g.arrive(1, 0, 0, 9s);
+  g.pass(100ms);
+  g.ends(1, ending);
+  const Time ended = g.now;
+  while (g.sent_count(1) == 1 && g.now < ended + 8s) g.pass(1ms);
+  ASSERT_EQ(g.sent_count(1), 2U);
+  EXPECT_GE(g.now - ended, guard);
+  EXPECT_LE(g.now - ended, guard + 100ms);  // the next look at what waits
+}
+
+INSTANTIATE_TEST_SUITE_P(Lengths, ReleaseGuards,
+                         ::testing::Values(Guard{0ms, Ending::timeout}, Guard{0ms, Ending::reset},
+                                           Guard{0ms, Ending::cancelled}, Guard{300ms, Ending::timeout},
+                                           Guard{300ms, Ending::reset}, Guard{300ms, Ending::cancelled},
+                                           Guard{5s, Ending::timeout}, Guard{5s, Ending::reset},
+                                           Guard{5s, Ending::cancelled}));
+
+}  // namespace
+}  // namespace reeltack::test
