Give the simulated list of endpoints its start times, as the real list now does

Ruled out: the mends of slow start; the modules of this world were told of no start at all, so that nothing was cold to them. Cause: since the split of StartId and start time, entry_of() leaves started_at to the list (OfficeList fills it); the test world (tests/fleet/return_world.cpp) takes entries past the list. Change: the world fills it in from the start, its clock being discovery's too; no assertion changed.

--- a/tests/fleet/return_world.cpp
+++ b/tests/fleet/return_world.cpp
@@ -6,6 +6,13 @@
 namespace reeltack::test {
 namespace {
 
+// What the list of endpoints fills in. The world's clock is discovery's too, so that the process's age is
+// what its start says.
+ServerEntry with_start_time(ServerEntry entry) {
+  entry.started_at = Time{std::chrono::milliseconds(static_cast<std::int64_t>(entry.start))};
+  return entry;
+}
+
 WorldSettings settings_of(const ReturnCase& of, std::uint64_t seed) {
   WorldSettings out = world_of(kReturnControllers, kReturnOffices, seed);
   out.calls_a_second = 0.0;
@@ -97,7 +104,7 @@
 ReturnWorld::~ReturnWorld() = default;
 
 ServerEntry ReturnWorld::entry(const World::Office& office) const {
-  ServerEntry out = entry_of(office.is, ServerState::ready).entry;
+  ServerEntry out = with_start_time(entry_of(office.is, ServerState::ready).entry);
   if (office.listed == recovery::Seen::gone) out.state = ServerState::gone;
   return out;
 }
@@ -109,7 +116,7 @@
   if (!g.module) g.module = std::make_unique<Controller>(module_settings(case_), seed_ * 131 + node);
   if (!told.offices.empty()) {
     ListTold list;
-    for (const core::OfficeEntry& o : told.offices) list.entries.push_back(o.entry);
+    for (const core::OfficeEntry& o : told.offices) list.entries.push_back(with_start_time(o.entry));
     tell(node, list);
   }
   if (told.module) tell(node, *told.module);
@@ -135,7 +142,7 @@
   list.complete = true;
   for (std::size_t k = 0; k < case_.configured; ++k) {
     g.at[first_[k].id] = first_[k].at;
-    list.entries.push_back(entry_of(first_[k], ServerState::ready).entry);
+    list.entries.push_back(with_start_time(entry_of(first_[k], ServerState::ready).entry));
   }
   tell(node, list);
   if (bulletin_) world_.schedule(20ms, [this, node] { tell_truth(node); });
