Split trunk groups, their tests and their figures by responsibility

Change: messages, settings and actions of a group have headers of their own; the class stays one, its members in group.cpp (states, own calls), group_receive.cpp, group_maintenance.cpp, group_connection.cpp, group_audit.cpp and group_inspection.cpp. Shared steps have one place: can_select(), await_completion(), release_lost_call(). Renamed: say -> send_on, say_blocks -> send_blocking, pick -> select, agreed -> mark_agreed, again_ and confirm_ -> release_retries_ and confirmations_, Due -> Timer. check() keeps its own copy of the rule on selectable circuits: an oracle that shares it would not see it broken. The figures use the settings of the tests' two ends in place of a copy.

--- a/bench/circuits_figures.cpp
+++ b/bench/circuits_figures.cpp
@@ -6,12 +6,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <deque>
-#include <map>
-#include <set>
 
-#include "circuits/group.h"
-#include "load/plan/draws.h"
+#include "circuits_world.h"
 
 namespace {
 
@@ -19,211 +15,80 @@
 using namespace reeltack;
 using namespace reeltack::circuits;
 
-GroupSettings settings(std::uint32_t size, bool high, Hunting hunting) {
-  GroupSettings s;
-  s.size = size;
-  s.own = high ? 2 : 1;
-  s.far = high ? 1 : 2;
-  s.hunting = hunting;
-  return s;
-}
+double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
-// Two ends with a delay between them, and callers at both.
-class World {
- public:
-  World(std::uint32_t size, Hunting hunting, Duration confirm = 1s)
-      : a_(with(settings(size, true, hunting), confirm)), b_(with(settings(size, false, hunting), confirm)) {
-    connect();
-  }
-  Time now{1000s};
-  std::uint64_t calls = 0, stood = 0, refused = 0, lost = 0;
-  // Both ends call at this rate until then; calls last `hold` in the mean.
-  void run(Time until, double rate, Duration hold, load::Random& random) {
-    Time next = rate > 0.0 ? now : Time::max();
-    while (now < until) {
-      Time at = std::min({next, until, a_.next_due(), b_.next_due()});
-      if (!timers_.empty()) at = std::min(at, timers_.begin()->first);
-      for (const auto& w : wire_) {
-        if (!w.empty()) at = std::min(at, w.front().first);
-      }
-      now = std::max(now, at);
-      for (const std::size_t end : {0U, 1U}) {
-        while (!wire_[end].empty() && wire_[end].front().first <= now) {
-          const Message m = wire_[end].front().second;
-          wire_[end].pop_front();
-          GroupActions actions;
-          if (!group(end).take(now, m, actions)) std::abort();
-          carry_out(end, actions);
-        }
-        GroupActions actions;
-        group(end).fire(now, actions);
-        carry_out(end, actions);
-      }
-      while (!timers_.empty() && timers_.begin()->first <= now) {
-        const auto [end, call] = timers_.begin()->second;
-        timers_.erase(timers_.begin());
-        GroupActions actions;
-        group(end).release(now, call, true, kNormalClearing, actions);
-        carry_out(end, actions);
-      }
-      if (now >= next && rate > 0.0) {
-        const std::size_t end = load::uniform(random) < 0.5 ? 0 : 1;
-        const std::uint64_t call = ++calls;
-        hold_[call] = Duration{
-            static_cast<Duration::rep>(load::exponential(random, static_cast<double>(hold.count())))};
-        GroupActions actions;
-        if (group(end).seize(now, call, actions) != Refusal::none) ++refused;
-        carry_out(end, actions);
-        next = now + Duration{static_cast<Duration::rep>(load::exponential(random, 1e9 / rate))};
-      }
-      if (watch_stuck_) look();
-    }
-  }
-  void connect() {
-    for (auto& w : wire_) w.clear();
-    for (const std::size_t end : {0U, 1U}) {
-      GroupActions actions;
-      group(end).connected(now, actions);
-      carry_out(end, actions);
-    }
-  }
-  void disconnect() {
-    for (auto& w : wire_) w.clear();
-    for (const std::size_t end : {0U, 1U}) {
-      GroupActions actions;
-      group(end).broken(now, actions);
-      carry_out(end, actions);
-    }
-    for (auto& w : wire_) w.clear();
-  }
-  // One end forgets what it holds on part of its circuits while nothing can be said. Returns how many.
-  std::uint64_t forget(std::size_t end, double part, load::Random& random) {
-    disconnect();
-    std::uint64_t n = 0;
-    for (Cic cic = 0; cic < group(end).size(); ++cic) {
-      const auto s = group(end).state(cic);
-      if (s != Group::State::standing_out && s != Group::State::standing_in) continue;
-      if (load::uniform(random) >= part) continue;
-      GroupActions none;
-      group(end).release(now, group(end).call_on(cic), s == Group::State::standing_out, kTemporaryFailure,
-                         none);
-      stuck_[cic] = now;
-      ++n;
+// The mean cost of a seizure with its release on a group of which half is busy, in nanoseconds.
+double seizure_cost_ns(std::uint32_t size, load::Random& random) {
+  World w(size, Hunting::opposite);
+  w.run(w.now + 500ms, 0.0, 1s, random);
+  Group& a = w.group(0);
+  GroupActions actions;
+  std::uint64_t call = 1;
+  for (; call <= size / 2; ++call) a.seize(w.now, call, actions);
+  constexpr int kTurns = 200000;
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < kTurns; ++i) {
+    actions.clear();
+    a.seize(w.now, ++call, actions);
+    // Released and completed at once, as the far end would.
+    const Cic cic = std::get<Send>(actions[0]).message.cic;
+    a.release(w.now, call, true, kNormalClearing, actions);
+    Message done;
+    done.kind = Kind::rlc;
+    done.cic = cic;
+    done.call = call;
+    done.sequence = static_cast<std::uint32_t>(i) + 1;  // the same circuit each time
+    done.heard = std::get<Send>(actions[1]).message.sequence;
+    a.take(w.now, done, actions);
+    if ((i & 1023) == 0) {  // its timers are void by now
+      actions.clear();
+      a.fire(w.now += 3s, actions);
     }
-    connect();
-    watch_stuck_ = true;
-    return n;
   }
-  Group& group(std::size_t end) { return end == 0 ? a_ : b_; }
-  [[nodiscard]] Duration longest_stuck() const { return longest_; }
-  [[nodiscard]] std::size_t still_stuck() const { return stuck_.size(); }
+  return std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - begin).count() / kTurns;
+}
 
- private:
-  static GroupSettings with(GroupSettings s, Duration confirm) {
-    s.confirm_after = confirm;
-    if (confirm > 1h) s.audit_period = confirm;  // no second word: nothing is settled
-    return s;
-  }
-  void look() {
-    for (auto it = stuck_.begin(); it != stuck_.end();) {
-      const auto next = std::next(it);
-      const bool free =
-          a_.state(it->first) == b_.state(it->first) && a_.state(it->first) == Group::State::idle;
-      const bool anew = a_.call_on(it->first) != 0 && a_.call_on(it->first) == b_.call_on(it->first);
-      if (free || anew) {
-        longest_ = std::max(longest_, now - it->second);
-        stuck_.erase(it);
-      }
-      it = next;
-    }
-  }
-  void carry_out(std::size_t end, const GroupActions& actions) {
-    for (const auto& a : actions) {
-      if (const auto* s = std::get_if<Send>(&a)) wire_[1 - end].emplace_back(now + kDelay, s->message);
-      if (const auto* o = std::get_if<Offered>(&a)) {
-        GroupActions answer;
-        group(end).answer(now, o->call, answer);
-        carry_out(end, answer);
-      }
-      if (const auto* n = std::get_if<Answered>(&a)) {
-        ++stood;
-        timers_.emplace(now + hold_[n->call], std::pair(end, n->call));
-      }
-      if (const auto* v = std::get_if<Over>(&a); v != nullptr && v->stood && v->outgoing && !v->told) {
-        ++lost;  // it was cut
-      }
+struct AuditCost {
+  double us = 0.0;
+  std::uint64_t queries = 0;
+  std::uint64_t bytes = 0;
+};
+// The mean cost of an audit of the whole group.
+AuditCost audit_cost(std::uint32_t size, load::Random& random) {
+  World v(size, Hunting::opposite);
+  v.run(v.now + 500ms, 0.0, 1s, random);
+  const auto start = std::chrono::steady_clock::now();
+  constexpr int kAudits = 50;
+  std::uint64_t queries = 0, bytes = 0;
+  for (int i = 0; i < kAudits; ++i) {
+    GroupActions asked;
+    v.group(0).audit_now(v.now, asked);
+    for (std::size_t k = 0; k < asked.size(); ++k) {  // grows as each response asks for the next range
+      const auto* q = std::get_if<Send>(&asked[k]);
+      if (q == nullptr || q->message.kind != Kind::cqm) continue;
+      ++queries;
+      GroupActions said;
+      v.group(1).take(v.now, q->message, said);
+      const Message response = std::get<Send>(said[0]).message;
+      bytes += response.words.size() * 16;
+      v.group(0).take(v.now, response, asked);
     }
   }
-  static constexpr Duration kDelay = 10ms;
-  Group a_, b_;
-  std::deque<std::pair<Time, Message>> wire_[2];
-  std::multimap<Time, std::pair<std::size_t, std::uint64_t>> timers_;
-  std::map<std::uint64_t, Duration> hold_;
-  std::map<Cic, Time> stuck_;
-  Duration longest_{};
-  bool watch_stuck_ = false;
-};
-
-double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+  const double us =
+      std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count() / kAudits;
+  return {us, queries / kAudits, bytes / kAudits};
+}
 
 void costs() {
   std::printf(
       "cost by size of the group (half of it busy)\ncircuits  seize+release ns  audit us  queries  bytes of "
       "words\n");
   for (const std::uint32_t size : {100U, 1000U, 10000U}) {
-    World w(size, Hunting::opposite);
     load::Random random = load::stream(1, "costs");
-    w.run(w.now + 500ms, 0.0, 1s, random);
-    Group& a = w.group(0);
-    GroupActions actions;
-    std::uint64_t call = 1;
-    for (; call <= size / 2; ++call) a.seize(w.now, call, actions);
-    constexpr int kTurns = 200000;
-    const auto begin = std::chrono::steady_clock::now();
-    for (int i = 0; i < kTurns; ++i) {
-      actions.clear();
-      a.seize(w.now, ++call, actions);
-      // Released and completed at once, as the far end would.
-      const Cic cic = std::get<Send>(actions[0]).message.cic;
-      a.release(w.now, call, true, kNormalClearing, actions);
-      Message done;
-      done.kind = Kind::rlc;
-      done.cic = cic;
-      done.call = call;
-      done.sequence = static_cast<std::uint32_t>(i) + 1;  // the same circuit each time
-      done.heard = std::get<Send>(actions[1]).message.sequence;
-      a.take(w.now, done, actions);
-      if ((i & 1023) == 0) {  // its timers are void by now
-        actions.clear();
-        a.fire(w.now += 3s, actions);
-      }
-    }
-    const double ns =
-        std::chrono::duration<double, std::nano>(std::chrono::steady_clock::now() - begin).count() / kTurns;
-    World v(size, Hunting::opposite);
-    v.run(v.now + 500ms, 0.0, 1s, random);
-    const auto start = std::chrono::steady_clock::now();
-    constexpr int kAudits = 50;
-    std::uint64_t queries = 0, bytes = 0;
-    for (int i = 0; i < kAudits; ++i) {
-      GroupActions asked;
-      v.group(0).audit_now(v.now, asked);
-      for (std::size_t k = 0; k < asked.size(); ++k) {  // grows as each response asks for the next range
-        const auto* q = std::get_if<Send>(&asked[k]);
-        if (q == nullptr || q->message.kind != Kind::cqm) continue;
-        ++queries;
-        GroupActions said;
-        v.group(1).take(v.now, q->message, said);
-        const Message response = std::get<Send>(said[0]).message;
-        bytes += response.words.size() * 16;
-        v.group(0).take(v.now, response, asked);
-      }
-    }
-    const double us =
-        std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - start).count() / kAudits;
-    std::printf("%8u  %16.0f  %8.1f  %7llu  %14llu\n", size, ns, us,
-                static_cast<unsigned long long>(queries / kAudits),
-                static_cast<unsigned long long>(bytes / kAudits));
+    const double ns = seizure_cost_ns(size, random);
+    const AuditCost audit = audit_cost(size, random);
+    std::printf("%8u  %16.0f  %8.1f  %7llu  %14llu\n", size, ns, audit.us,
+                static_cast<unsigned long long>(audit.queries), static_cast<unsigned long long>(audit.bytes));
   }
 }
 
@@ -259,7 +124,7 @@
   w.run(w.now + 20s, 20.0, 3s, random);
   std::printf("\nstuck circuits: %llu induced, the longest stay %.0f ms (bound %.0f ms), still stuck %zu\n",
               static_cast<unsigned long long>(losses), ms(w.longest_stuck()),
-              ms(settle_bound(settings(100, true, Hunting::opposite))), w.still_stuck());
+              ms(settle_bound(test::settings_of(100, true, Hunting::opposite))), w.still_stuck());
 }
 
 void worth() {
--- a/src/circuits/group.h
+++ b/src/circuits/group.h
@@ -10,7 +10,7 @@
 //
 // - Sequence numbers. Each end counts the messages it has sent on a circuit since the connection came up, and
 //   each message tells how many of the other end's it had heard. A message that had not heard this end's last
-//   word is an older word than that one, whatever the clocks say. So a reset that was decided before a
+//   message is older than that one, whatever the clocks say. So a reset that was decided before a
 //   seizure came does nothing to that seizure, and an audit's answer speaks only of circuits on which nothing
 //   is in flight. Messages of one connection arrive in order or not at all.
 // - A call stands without a connection. What had not been answered when the connection broke is over at both
@@ -20,8 +20,13 @@
 // other those with odd ones (Q.764, 2.9.1.4). Where both have seized a circuit, the controlling end's call
 // stands and the other end's has never run, whichever message comes first.
 //
-// Told events, returns actions, in order, to be carried out at once. Equal inputs give equal outputs. Nothing
-// is allocated by selection. Threads: one at a time.
+// Takes events, returns actions, in order, to be carried out at once. Equal inputs give equal outputs.
+// Nothing is allocated by selection. Threads: one at a time.
+//
+// One class in several files, by what it does: group.cpp (states of a circuit, calls of this end),
+// group_receive.cpp (messages of the far end), group_maintenance.cpp (blocking and lost circuits),
+// group_connection.cpp (connection and timers), group_audit.cpp (audits), group_inspection.cpp (what it
+// holds, for people and tests).
 #pragma once
 
 #include <cstdint>
@@ -29,113 +34,17 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "circuits/group_actions.h"
+#include "circuits/group_settings.h"
 #include "circuits/idle_set.h"
+#include "circuits/message.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::circuits {
 
-using PointCode = std::uint32_t;
-
-enum class Hunting {
-  opposite,  // the end with the higher point code hunts from the high end, the other from the low one
-  priority,  // own circuits first, the longest idle; then the other end's, the last released (Q.764, method
-             // 2)
-  same,      // both from the low end: for comparison only
-};
-
-struct GroupSettings {
-  std::uint32_t size = 30;  // circuits
-  PointCode own = 1;
-  PointCode far = 2;
-  Hunting hunting = Hunting::opposite;
-  Duration release_again =
-      std::chrono::seconds(2);  // a release or reset without its completion is said again (T1, T16)
-  int release_most = 3;         // ... so often; then the circuit is reset (T5)
-  Duration audit_period = std::chrono::seconds(3);      // in which the whole group is compared
-  Duration confirm_after = std::chrono::seconds(1);     // what disagrees is asked about once more
-  std::uint32_t audit_range = 256;                      // circuits a query
-  std::uint32_t settle_batch = 64;                      // circuits freed or reset at once ...
-  Duration settle_gap = std::chrono::milliseconds(50);  // ... and how long until the next so many
-  Duration silence_most =
-      std::chrono::milliseconds(5500);  // without a connection for so long, what stands is over
-};
-// The longest that a stuck circuit stays so, from the moment it got stuck or from the reconnection.
-Duration settle_bound(const GroupSettings& settings);
-
-enum class Kind : std::uint8_t {
-  iam,  // initial address: seizes the circuit for a call
-  anm,  // answer: the call stands
-  rel,  // release, with a cause
-  rlc,  // release complete; also answers a reset
-  rsc,  // reset circuit
-  blo,  // blocking of a range, for maintenance
-  bla,  // its acknowledgement
-  ubl,  // unblocking
-  uba,  // its acknowledgement
-  cqm,  // circuit group query of a range
-  cqr,  // its response
-};
-const char* name_of(Kind kind);
-
-// What a query's response says of one circuit.
-struct CircuitWord {
-  enum class State : std::uint8_t { idle, out, in, changing } state{};  // changing: releasing or resetting
-  bool standing = false;
-  std::uint32_t heard = 0;  // of the asking end's messages, on this connection
-  std::uint64_t call = 0;
-  bool operator==(const CircuitWord&) const = default;
-};
-
-struct Message {
-  Kind kind{};
-  Cic cic = 0;
-  std::uint32_t count = 1;           // blo, ubl, cqm, cqr: so many circuits from cic on
-  std::uint64_t call = 0;            // iam, anm, rel, rlc
-  int cause = 0;                     // rel: Q.850
-  std::uint32_t sequence = 0;        // of the sender on this circuit, from 1; 0 in group messages
-  std::uint32_t heard = 0;           // of the receiver's on this circuit
-  std::uint32_t token = 0;           // cqm, cqr
-  std::vector<CircuitWord> words{};  // cqr
-  bool operator==(const Message&) const = default;
-};
-
-// ---------------------------------------------------------------- actions
-
-struct Send {
-  Message message;
-};
-// A call comes in on a circuit: offer it, then answer() or release() it.
-struct Offered {
-  std::uint64_t call = 0;
-  Cic cic = 0;
-};
-struct Answered {  // a call of ours stands
-  std::uint64_t call = 0;
-};
-// A call of ours lost a dual seizure: it has not run at the far end, and another may be tried at once.
-struct NotSent {
-  std::uint64_t call = 0;
-};
-// A call is over that had been seized, offered or stood.
-struct Over {
-  std::uint64_t call = 0;
-  bool outgoing = false;
-  bool stood = false;
-  int cause = 0;      // Q.850
-  bool told = false;  // by the far end's release; else by a break, a reset or an audit
-};
-using GroupAction = std::variant<Send, Offered, Answered, NotSent, Over>;
-using GroupActions = std::vector<GroupAction>;
-
-inline constexpr int kNormalClearing = 16;
-inline constexpr int kNoCircuit = 34;
-inline constexpr int kTemporaryFailure = 41;
-
-enum class Refusal { none, no_circuit, not_connected, call_known };
-
+// One end of a trunk group.
 class Group {
  public:
   explicit Group(const GroupSettings& settings);
@@ -145,7 +54,7 @@
   Group& operator=(const Group&) = delete;
   Group& operator=(Group&&) = delete;
 
-  // ---- told by the program
+  // ---- requests of the program
   // Seizes a circuit for a call; what is sent is the iam, whose description is the program's own affair.
   Refusal seize(Time now, std::uint64_t call, GroupActions& actions);
   void answer(Time now, std::uint64_t call, GroupActions& actions);  // of a call that came in
@@ -157,7 +66,7 @@
   void restore(Time now, Cic first, std::uint32_t count, GroupActions& actions);
   void audit_now(Time now, GroupActions& actions);
 
-  // ---- told by the wire
+  // ---- events of the connection
   void connected(Time now, GroupActions& actions);
   void broken(Time now, GroupActions& actions);
   // False: no end that keeps to the rules could have sent it; the connection must end.
@@ -175,6 +84,7 @@
     releasing,
     resetting
   };
+  // Events since this end began.
   struct Counts {
     std::uint64_t seized = 0, offered = 0, collisions = 0, glare_lost = 0, stale = 0, audits = 0;
     std::uint64_t suspects = 0, freed = 0, resets = 0, releases_again = 0;
@@ -192,6 +102,7 @@
   }
   // Of a circuit, for people: "standing-out", "idle blocked-remote" and their like.
   [[nodiscard]] std::string describe(Cic cic) const;
+  // Circuits by what they are in now.
   struct Summary {
     std::uint32_t idle = 0, seized = 0, standing = 0, releasing = 0, blocked_local = 0, blocked_remote = 0,
                   lost = 0, suspect = 0, unaudited = 0;
@@ -222,7 +133,7 @@
     std::uint32_t seized = 0;    // `sent` at this end's last seizure: an iam that had not heard it collides
     std::uint64_t far_call = 0;  // what the far end said it holds, when it disagreed
   };
-  struct Due {
+  struct Timer {
     Time at{};
     Cic cic = 0;
     std::uint32_t sent = 0;  // of the circuit when it was set: what changed since makes it void
@@ -235,25 +146,34 @@
   }
   static bool is_out(State s) { return s == State::seized_out || s == State::standing_out; }
   static bool stands(State s) { return s == State::standing_out || s == State::standing_in; }
-  void say(Cic cic, Kind kind, std::uint64_t call, int cause, GroupActions& actions);
+  // Sends a message on one circuit, with the next sequence number.
+  void send_on(Cic cic, Kind kind, std::uint64_t call, int cause, GroupActions& actions);
   void enter(Cic cic, State state, std::uint64_t call);
+  [[nodiscard]] bool can_select(Cic cic) const;
   void reselect(Cic cic);
-  std::optional<Cic> pick() const;
+  [[nodiscard]] std::optional<Cic> select() const;
+  void await_completion(Time now, Cic cic);
   // The call on a circuit is over without the far end's consent being needed.
-  void drop(Cic cic, int cause, bool told, GroupActions& actions);
+  void drop(Cic cic, int cause, bool by_far_end, GroupActions& actions);
   void begin_release(Time now, Cic cic, int cause, GroupActions& actions);
   void begin_reset(Time now, Cic cic, GroupActions& actions);
   std::uint32_t query(Cic first, std::uint32_t count, GroupActions& actions);
   void step_audit(Time now, GroupActions& actions);
-  void say_blocks(bool blocked, Cic first, std::uint32_t count, GroupActions& actions);
+  void release_lost_call(Time now, Cic cic, GroupActions& actions);
+  void send_blocking(bool blocked, Cic first, std::uint32_t count, GroupActions& actions);
   void respond(const Message& query, GroupActions& actions) const;
   void compare(Time now, const Message& response, GroupActions& actions);
-  void compare_one(Time now, Cic cic, const CircuitWord& word);
-  void agreed(Cic cic);
+  void compare_one(Time now, Cic cic, const CircuitWord& report);
+  void mark_agreed(Cic cic);
+  // Frees or resets what disagreed twice with nothing in between, one batch.
   void settle(Time now, GroupActions& actions);
   bool take_iam(Time now, const Message& m, bool older, GroupActions& actions);
   void take_rel(const Message& m, GroupActions& actions);
   void take_rsc(const Message& m, bool older, GroupActions& actions);
+  void retry_releases(Time now, GroupActions& actions);
+  void confirm_suspects(Time now, GroupActions& actions);
+  void drop_standing(GroupActions& actions);
+  void take_anm(const Message& m, GroupActions& actions);
   bool take_group(Time now, const Message& m, GroupActions& actions);
 
   const GroupSettings settings_;
@@ -262,8 +182,9 @@
   IdleSet own_;    // ... those that this end controls ...
   IdleSet other_;  // ... and those of the other end
   std::unordered_map<std::uint64_t, Cic> calls_;
-  std::deque<Due> again_;  // each of these waits alike, so the first is the next
-  std::deque<Due> confirm_;
+  // Each of these waits alike, so the first is the next.
+  std::deque<Timer> release_retries_;
+  std::deque<Timer> confirmations_;
   std::deque<Cic> to_settle_;
   Time settle_at_ = Time::max();
   Time audit_due_ = Time::max();
--- /dev/null
+++ b/src/circuits/group_connection.cpp
@@ -0,0 +1,103 @@
+// The connection of a trunk group as it comes up and breaks, and the timers.
+#include <algorithm>
+
+#include "circuits/group.h"
+
+namespace reeltack::circuits {
+
+void Group::connected(Time now, GroupActions& actions) {
+  if (up_) broken(now, actions);
+  up_ = true;
+  ++epoch_;
+  release_retries_.clear();
+  confirmations_.clear();
+  to_settle_.clear();
+  settle_at_ = silence_at_ = Time::max();
+  for (Cic cic = 0; cic < settings_.size; ++cic) {
+    Circuit& c = circuits_[cic];
+    c.sent = c.heard = c.seized = 0;
+    c.disagreed = 0;
+    c.blocked_remote = c.block_heard = false;
+    c.unaudited = true;
+    reselect(cic);
+  }
+  for (Cic cic = 0; cic < settings_.size;) {
+    const auto shut = [this](Cic at) { return circuits_[at].blocked_local || circuits_[at].lost; };
+    const Cic begin = cic;
+    while (cic < settings_.size && shut(cic)) ++cic;
+    send_blocking(true, begin, cic - begin, actions);
+    if (cic == begin) ++cic;
+  }
+  audit_now(now, actions);
+}
+
+void Group::broken(Time now, GroupActions& actions) {
+  if (!up_) return;
+  up_ = false;
+  audit_due_ = settle_at_ = Time::max();
+  audit_urgent_ = false;
+  silence_at_ = now + settings_.silence_most;
+  for (Cic cic = 0; cic < settings_.size; ++cic) {
+    Circuit& c = circuits_[cic];
+    c.unaudited = true;
+    c.disagreed = 0;
+    // No connection owns what stands. What had no answer is over at both ends, whatever was on its way.
+    if (stands(c.state)) {
+      reselect(cic);
+    } else {
+      drop(cic, kTemporaryFailure, false, actions);
+    }
+  }
+}
+
+Time Group::next_due() const {
+  Time out = std::min({settle_at_, audit_due_, silence_at_});
+  if (!release_retries_.empty()) out = std::min(out, release_retries_.front().at);
+  if (!confirmations_.empty()) out = std::min(out, confirmations_.front().at);
+  return out;
+}
+
+void Group::retry_releases(Time now, GroupActions& actions) {
+  while (!release_retries_.empty() && release_retries_.front().at <= now) {
+    const Timer due = release_retries_.front();
+    release_retries_.pop_front();
+    Circuit& c = circuits_[due.cic];
+    if (!up_ || due.epoch != epoch_ || c.sent != due.sent) continue;  // something was said since
+    if (c.state == State::releasing && c.tries < settings_.release_most) {
+      ++c.tries;
+      ++counts_.releases_again;
+      send_on(due.cic, Kind::rel, c.call, kNormalClearing, actions);
+      await_completion(now, due.cic);
+    } else if (c.state == State::releasing || c.state == State::resetting) {
+      begin_reset(now, due.cic, actions);
+    }
+  }
+}
+
+void Group::confirm_suspects(Time now, GroupActions& actions) {
+  while (!confirmations_.empty() && confirmations_.front().at <= now) {
+    const Timer due = confirmations_.front();
+    confirmations_.pop_front();
+    const Circuit& c = circuits_[due.cic];
+    if (up_ && due.epoch == epoch_ && c.sent == due.sent && c.disagreed == 1) query(due.cic, 1, actions);
+  }
+}
+
+void Group::drop_standing(GroupActions& actions) {
+  for (Cic cic = 0; cic < settings_.size; ++cic) {
+    if (stands(circuits_[cic].state)) drop(cic, kTemporaryFailure, false, actions);
+  }
+}
+
+void Group::fire(Time now, GroupActions& actions) {
+  retry_releases(now, actions);
+  confirm_suspects(now, actions);
+  if (settle_at_ <= now) settle(now, actions);
+  if (audit_due_ <= now) step_audit(now, actions);
+  if (silence_at_ <= now) {
+    silence_at_ = Time::max();
+    drop_standing(actions);
+  }
+}
+
+}  // namespace reeltack::circuits
