Split the DNS zone by responsibility

Change: names (name), numbers and times (numbers), records and their data (record), the lexical form of master files (lexer), their reading (master_file: a reader with a step a function), the endpoints that records describe (endpoints), and what a zone holds (zone). Limits of RFC 1035 and 2181 have names. Renamed: whole -> read_whole, get -> read_number, put16/32 -> append16/32, types -> type_names, data_text -> data_to_text, word and string of the lexer -> plain_token and quoted_string; office and place in endpoints.cpp -> endpoint and zone.

--- /dev/null
+++ b/src/dns/numbers.h
@@ -0,0 +1,23 @@
+// Numbers as the wire and the master file write them; for the files of this module alone.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace reeltack::dns {
+
+// Appends the low 16 or 32 bits, most significant byte first.
+void append16(std::string& out, std::uint64_t value);
+void append32(std::string& out, std::uint64_t value);
+// Up to four bytes at `at`, most significant first.
+std::uint32_t read_number(std::string_view data, std::size_t at, std::size_t bytes);
+// Digits alone; nothing: anything else, or above `most`.
+std::optional<std::uint64_t> read_whole(std::string_view text, std::uint64_t most);
+// A time in seconds, of plain digits (RFC 1035) or with the common unit letters: "1h30m". Nothing: malformed,
+// or above what a TTL may be (RFC 2181, 8).
+std::optional<std::uint64_t> seconds_of(std::string_view text);
+
+}  // namespace reeltack::dns
--- a/src/dns/zone.h
+++ b/src/dns/zone.h
@@ -1,45 +1,29 @@
-// A DNS zone: read from a master file (RFC 1035), kept in memory, written back, and read as offices.
+// A DNS zone: read from a master file (RFC 1035), kept in memory, written back, and read as endpoints.
 //
-// Owns: names, record sets and their textual and binary forms; which SRV, A and TXT records make an office.
+// Owns: names and their record sets; which SRV, A and TXT records make an endpoint.
 // Must never: take a malformed record, or look a name up anywhere else.
 #pragma once
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
-#include <stdexcept>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "core/core.h"
+#include "dns/lexer.h"
+#include "dns/name.h"
+#include "dns/record.h"
 
 namespace reeltack::dns {
 
-class ZoneError : public std::runtime_error {  // names file and line
- public:
-  using std::runtime_error::runtime_error;
-};
-
-enum Type : std::uint16_t { kA = 1, kNs = 2, kCname = 5, kSoa = 6, kTxt = 16, kSrv = 33, kAny = 255 };
-
-// Names are kept in lower case, whole, with the last dot: "a.example.".
-std::optional<std::string> read_name(std::string_view text, std::string_view origin);
-std::string name_to_wire(const std::string& name);
-// Reads a name off a message, compressed or not; moves `at` behind it.
-std::optional<std::string> name_from_wire(std::string_view message, std::size_t& at);
-bool within(const std::string& name, const std::string& zone);
-
-struct RecordSet {
-  std::uint32_t ttl = 0;
-  std::set<std::string> data;  // as on the wire, names not compressed
-};
-
+// Names and their records, in memory. Threads: one at a time.
 class Zone {
  public:
-  // Throws ZoneError.
+  // An empty zone, which needs its SOA record before anything else is asked of it.
+  explicit Zone(std::string origin);
+  // The zone of a master file; `file` names it in errors. Throws ZoneError.
   static Zone read(const std::string& text, const std::string& file);
+  // As a master file, the SOA first.
   [[nodiscard]] std::string text() const;
 
   [[nodiscard]] const std::string& origin() const { return origin_; }
@@ -49,9 +33,9 @@
   void remove(const std::string& name, std::uint16_t type);  // kAny: all
   void remove(const std::string& name, std::uint16_t type, const std::string& data);
   [[nodiscard]] std::uint32_t serial() const;
-  void raise_serial();
+  void raise_serial();  // by one, past 0 (RFC 1982)
 
-  // The offices that the SRV records of `service` name. A target without an address here is left out and
+  // The endpoints that the SRV records of `service` name. A target without an address here is left out and
   // goes to `missing`.
   [[nodiscard]] std::vector<core::OfficeEntry> offices(const std::string& service,
                                                        std::vector<std::string>* missing = nullptr) const;
@@ -61,8 +45,4 @@
   std::map<std::string, std::map<std::uint16_t, RecordSet>> names_;
 };
 
-// Checks data as it came on the wire in a message and gives it without compression; nothing: malformed.
-std::optional<std::string> data_from_wire(std::string_view message, std::size_t at, std::size_t length,
-                                          std::uint16_t type);
-
 }  // namespace reeltack::dns
