Split the adapter's wire and the large tests beside it

Change: decode.cpp with field_reader.h, encode.cpp, and the codes as two enumerations in record_codes.h, with the platform's names behind.

--- a/adapter/wire.h
+++ b/adapter/wire.h
@@ -24,9 +24,11 @@
 inline constexpr std::size_t kBatchHeader = 20;
 inline constexpr std::size_t kReplyHeader = 12;
 
+// The instance that the records behind it are for.
 struct About {
   std::uint32_t instance = 0;
 };
+// An instance begins; `params` is the text of its settings.
 struct Launch {
   std::uint64_t seed = 0;
   std::string params;
@@ -37,6 +39,7 @@
   std::vector<ServerEntry> entries;
 };
 enum class AnnounceForm : std::uint8_t { delta = 0, full = 1, cached = 2, failed = 3 };
+// A list of servers has come, or could not be had.
 struct Announce {
   std::uint64_t version = 0;
   AnnounceForm form = AnnounceForm::delta;
@@ -66,13 +69,14 @@
 // A whole frame, header and body. Unknown codes are skipped by their length.
 Batch decode_batch(std::span<const std::uint8_t> frame);
 
+// Collects the records of one reply.
 class ReplyWriter {
  public:
   explicit ReplyWriter(std::uint32_t number) : number_(number) {}
   void about(std::uint32_t instance);
   void action(const Action& action);
   void die(const std::string& line);
-  [[nodiscard]] Bytes finish() const;
+  [[nodiscard]] Bytes finish() const;  // the whole frame
 
  private:
   std::uint32_t number_;
--- a/tests/gateway.h
+++ b/tests/gateway.h
@@ -220,4 +220,13 @@
   std::multimap<Time, TimerToken> timers_;
 };
 
+// Ten calls from the id `from` on that stand after `took`, so that the delays of server `to` are known.
+inline void warm_up(Gateway& g, std::uint32_t to, std::uint64_t from, Duration took) {
+  for (std::uint64_t id = from; id < from + 10; ++id) {
+    g.arrive(id, 0, to);
+    g.pass(took);
+    g.stands(id);
+  }
+}
+
 }  // namespace reeltack::test
--- a/tests/parsers_test.cpp
+++ b/tests/parsers_test.cpp
@@ -1,15 +1,7 @@
-// The parsers and readers: what is taken, what is refused, and what the refusal names.
+// The parsers of messages: what is taken, what is refused, and what the refusal names.
 #include <gtest/gtest.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 
-#include <cstdio>
-#include <fstream>
-#include <future>
-
-#include "config/config.h"
-#include "dns/updates.h"
-#include "net/door.h"
+#include "base/json.h"
 #include "platform/bulletin.h"
 #include "platform/office_lines.h"
 #include "platform/sip.h"
@@ -18,7 +10,7 @@
 namespace reeltack::test {
 namespace {
 
-using net::Json;
+using base::Json;
 
 TEST(JsonText, IsReadStrictly) {
   const Json json = Json::parse(R"( {"a":[1,-2.5e1,"\u00f1\ud83d\ude95\n"],"b":{"c":true,"d":null}} )");
@@ -27,9 +19,9 @@
   for (const char* bad :
        {"", "{", "{\"a\":1,}", "[1 2]", "01", "1.", "nul", "\"\x01\"", "\"\\x\"", "\"\\ud800\"",
         "{\"a\":1,\"a\":2}", "[]x", "\"\xff\"", "\"\xc0\xaf\"", "\"\xed\xa0\x80\""})
-    EXPECT_THROW(Json::parse(bad), net::JsonError) << bad;
-  EXPECT_THROW(Json::parse(std::string(60, '[') + std::string(60, ']')), net::JsonError);
-  EXPECT_EQ(Json::parse(net::quoted("a\"\\\r\n\x1f")).string()->size(), 6U);
+    EXPECT_THROW(Json::parse(bad), base::JsonError) << bad;
+  EXPECT_THROW(Json::parse(std::string(60, '[') + std::string(60, ']')), base::JsonError);
+  EXPECT_EQ(Json::parse(base::quoted("a\"\\\r\n\x1f")).string()->size(), 6U);
 }
 
 TEST(SipText, WaitsForMoreAndRefusesWhatHasNoEnd) {
@@ -107,205 +99,6 @@
   EXPECT_EQ(status(good + std::string(9000, 'x')), "431");
 }
 
-// ---------------------------------------------------------------- configuration
-
-std::string complaint(const std::string& json, bool fronts) {
-  try {
-    const Json parsed = Json::parse(json);
-    fronts ? static_cast<void>(config::read_fronts(parsed, "f"))
-           : static_cast<void>(config::read_node(parsed, "f"));
-  } catch (const config::ConfigError& error) {
-    return error.what();
-  }
-  return "none";
-}
-
-TEST(Configuration, NamesTheFaultyKey) {
-  const std::string settings =
-      R"("settings":{"Balancers":1,"Classes":[{"Name":"v","GoalTimeNs":1500000000,"DeadlineNs":9000000000}]})";
-  EXPECT_EQ(complaint("{" + settings + "}", false), "none");
-  const std::pair<const char*, const char*> nodes[] = {
-      {R"("listen":"here")", "f.listen"},
-      {R"("seed":"xyz")", "f.seed"},
-      {R"("limits":{"sockets":"many"})", "f.limits.sockets"},
-      {R"("known":{"no":1,"items":[{"roster":{"endpoints":[{"name":"q"}]}}]})",
-       "f.known.items.0.roster.endpoints.0.name"},
-      {R"("known":{"no":1,"items":[{"roster":{"endpoints":[{"name":"s-0000000a","address":"1.2.3.4:5","status":"up"}]}}]})",
-       "endpoints.0.status"}};
-  for (const auto& [json, key] : nodes)
-    EXPECT_NE(complaint("{" + std::string(json) + "," + settings + "}", false).find(key), std::string::npos)
-        << json;
-  EXPECT_NE(complaint(R"({"settings":{"Classes":[]}})", false).find("Balancers"), std::string::npos);
-  EXPECT_NE(complaint(R"({"settings":{"Balancers":1,"Classes":[{"Name":"v","DeadlineNs":1}]}})", false)
-                .find("Classes.0.GoalTimeNs"),
-            std::string::npos);
-  EXPECT_EQ(complaint(R"({"websocket":{"on":false}})", true), "none");
-  const std::pair<const char*, const char*> fronts[] = {
-      {R"({"websocket":{"on":true}})", "f.websocket.listen"},
-      {R"({"websocket":{"on":1}})", "f.websocket.on"},
-      {R"({"websocket":{"port":1}})", "f.websocket.port"},
-      {R"({"zone":{"on":true,"file":"x","service":"a.b"}})", "f.zone.service"},
-      {R"({"zone":{"on":true,"file":"x","service":"a.b.","updates":"10.0.0.1:53"}})", "f.zone.updates"}};
-  for (const auto& [json, key] : fronts)
-    EXPECT_NE(complaint(json, true).find(key), std::string::npos) << json;
-}
-
-int run(const std::string& command) {
-  return WEXITSTATUS(std::system((command + " >/dev/null 2>&1").c_str()));
-}
-
-TEST(ConfigTool, WritesWhatItThenFindsGoodAndRefusesTheRest) {
-  const std::string dir = ::testing::TempDir();
-  const std::string tool = CONFIG_TOOL;
-  const std::string write = tool + " write " + dir + " --listen 127.0.0.1:5060 --class voice:1500:1";
-  EXPECT_EQ(run(write + " --websocket 127.0.0.1:8760"), 0);
-  EXPECT_EQ(run(tool + " check " + dir + "/config.json " + dir + "/fronts.json"), 0);
-  EXPECT_EQ(run(write + " --websocket nowhere"), 1);
-  EXPECT_EQ(run(tool + " check " + dir + "/absent.json"), 1);
-  EXPECT_EQ(run(tool + " write " + dir), 2);
-  std::ofstream(dir + "/bad.zone") << "a IN A 1.2.3\n";
-  EXPECT_EQ(run(write + " --service s.e. --zone " + dir + "/bad.zone"), 1);
-}
-
-TEST(DeployFile, LeavesTheSecondFrontOff) {
-  const config::Fronts fronts = config::read_fronts(config::read_json(SOURCE_DIR "/deploy/fronts.json"), "f");
-  EXPECT_FALSE(fronts.websocket);
-  EXPECT_TRUE(fronts.zone_file.empty());
-}
-
-// ---------------------------------------------------------------- zones
-
-const char* const kZone = R"($ORIGIN t.example.
-$TTL 1h
-@ IN SOA ns hostmaster ( 5 ; serial
-      3600 600 86400 60 )
-  NS ns
-ns A 127.0.0.9
-_c._tcp 30 IN SRV 0 2 2905 s-0000000a
-        SRV 0 3 2906 other.t.example.
-s-0000000a IN A 127.0.0.1
-other A 127.0.0.2
-      TXT "place=4" "x;y"
-)";
-
-TEST(ZoneFile, NamesOffices) {
-  const dns::Zone zone = dns::Zone::read(kZone, "z");
-  const auto offices = zone.offices("_c._tcp.t.example.");
-  ASSERT_EQ(offices.size(), 2U);
-  EXPECT_EQ(offices[0].entry.server, ServerId{10});
-  EXPECT_EQ(offices[0].address, "127.0.0.1:2905");
-  EXPECT_EQ(offices[1].entry.place, 4U);
-  EXPECT_EQ(offices[1].entry.capacity, 3.0);
-  EXPECT_EQ(dns::Zone::read(zone.text(), "again").text(), zone.text());
-}
-
-TEST(ZoneFile, MalformedRecordIsRefusedWithFileAndLine) {
-  const std::string head = "$ORIGIN t.\n$TTL 1\n@ SOA a. b. 1 1 1 1 1\n";
-  const std::pair<const char*, const char*> cases[] = {{"x A 1.2.3\n", "z:4:"},
-                                                       {"x A\n", "z:4:"},
-                                                       {"x SRV 1 2 3\n", "z:4:"},
-                                                       {"x SRV 1 2 70000 y\n", "z:4:"},
-                                                       {"x HINFO a b\n", "z:4:"},
-                                                       {"\nx TXT \"a\n", "z:5:"},
-                                                       {"x A ( 1.2.3.4\n\n", "z:6:"},
-                                                       {"x..y A 1.2.3.4\n", "z:4:"},
-                                                       {"$INCLUDE f\n", "z:4:"},
-                                                       {"x A 1.2.3.4 5\n", "z:4:"},
-                                                       {"@ SOA a. b. 1 1 1 1 1\n", "z:4:"},
-                                                       {"x CNAME y\nx A 1.2.3.4\n", "z:5:"},
-                                                       {"x.else. A 1.2.3.4\n", "z:4:"}};
-  for (const auto& [text, place] : cases) {
-    try {
-      dns::Zone::read(head + text, "z");
-      ADD_FAILURE() << "taken: " << text;
-    } catch (const dns::ZoneError& error) {
-      EXPECT_EQ(std::string(error.what()).substr(0, 4), place) << text << error.what();
-    }
-  }
-  EXPECT_THROW(dns::Zone::read("", "z"), dns::ZoneError);
-  EXPECT_THROW(dns::Zone::read("$TTL 1\na A 1.2.3.4\n", "z"), dns::ZoneError);
-}
-
-struct Rr {
-  const char* name;
-  int type, rr_class, ttl;
-  std::string data;
-};
-std::string message(const std::vector<Rr>& before, const std::vector<Rr>& updates,
-                    const char* zone = "t.example.") {
-  std::string out("\0\1\x28\0\0\1\0", 7);
-  out += static_cast<char>(before.size());
-  out += '\0';
-  out += static_cast<char>(updates.size());
-  out += std::string("\0\0", 2) + dns::name_to_wire(zone) + std::string("\0\6\0\1", 4);
-  for (const auto* section : {&before, &updates}) {
-    for (const Rr& r : *section) {
-      out += dns::name_to_wire(r.name);
-      for (const int v : {r.type, r.rr_class, 0, r.ttl, static_cast<int>(r.data.size())}) {
-        out += static_cast<char>(v >> 8);
-        out += static_cast<char>(v);
-      }
-      out += r.data;
-    }
-  }
-  return out;
-}
-
-TEST(DynamicUpdate, AnswersWithTheCodesOfTheRfc) {
-  const std::string one("\x7f\0\0\1", 4);
-  const std::string nine("\x7f\0\0\x09", 4);
-  const char* const ns = "ns.t.example.";
-  const char* const none = "none.t.example.";
-  constexpr int kAnyClass = 255;
-  constexpr int kNoClass = 254;
-  const std::vector<Rr> add = {{"new.t.example.", dns::kA, 1, 60, one}};
-  const std::pair<std::string, int> cases[] = {
-      {message({}, add), dns::kNoError},
-      {message({{ns, dns::kAny, kAnyClass, 0, ""}}, add), dns::kNoError},
-      {message({{none, dns::kAny, kAnyClass, 0, ""}}, add), dns::kNxDomain},
-      {message({{ns, dns::kAny, kNoClass, 0, ""}}, add), dns::kYxDomain},
-      {message({{ns, dns::kSrv, kAnyClass, 0, ""}}, add), dns::kNxRrset},
-      {message({{ns, dns::kA, kNoClass, 0, ""}}, add), dns::kYxRrset},
-      {message({{ns, dns::kA, 1, 0, nine}}, add), dns::kNoError},
-      {message({{ns, dns::kA, 1, 0, one}}, add), dns::kNxRrset},
-      {message({{ns, dns::kA, 1, 5, nine}}, add), dns::kFormErr},
-      {message({{"x.else.", dns::kAny, kAnyClass, 0, ""}}, add), dns::kNotZone},
-      {message({}, {{"x.else.", dns::kA, 1, 60, one}}), dns::kNotZone},
-      {message({}, {{ns, dns::kA, 1, 60, "abc"}}), dns::kFormErr},
-      {message({}, {{ns, dns::kAny, 1, 60, one}}), dns::kFormErr},
-      {message({}, {{ns, dns::kA, kAnyClass, 1, ""}}), dns::kFormErr},
-      {message({}, {{ns, dns::kA, kNoClass, 0, ""}}), dns::kFormErr},
-      {message({}, {{ns, 99, 1, 60, one}}), dns::kRefused},
-      {message({}, add, "else."), dns::kNotAuth},
-      {message({}, add).substr(0, 30), dns::kFormErr}};
-  for (std::size_t i = 0; i < std::size(cases); ++i) {
-    dns::Zone zone = dns::Zone::read(kZone, "z");
-    bool changed = false;
-    EXPECT_EQ(dns::apply_update(zone, cases[i].first, changed), cases[i].second) << "case " << i;
-    EXPECT_EQ(changed, cases[i].second == dns::kNoError) << "case " << i;
-    EXPECT_EQ(zone.serial(), changed ? 6U : 5U) << "case " << i;
-  }
-}
-
-TEST(DynamicUpdate, KeepsTheApexAndTakesAllOrNothing) {
-  dns::Zone zone = dns::Zone::read(kZone, "z");
-  bool changed = false;
-  const std::string ns = dns::name_to_wire("ns.t.example.");
-  EXPECT_EQ(
-      dns::apply_update(
-          zone, message({}, {{"t.example.", dns::kAny, 255, 0, ""}, {"t.example.", dns::kNs, 254, 0, ns}}),
-          changed),
-      dns::kNoError);
-  EXPECT_FALSE(changed);
-  EXPECT_NE(zone.find("t.example.", dns::kNs), nullptr);
-  EXPECT_EQ(
-      dns::apply_update(
-          zone, message({}, {{"other.t.example.", dns::kA, 255, 0, ""}, {"x.else.", dns::kA, 255, 0, ""}}),
-          changed),
-      dns::kNotZone);
-  EXPECT_NE(zone.find("other.t.example.", dns::kA), nullptr);
-}
-
 // Cut at any byte, a message is waited for; whole, it is taken with its length, and what follows is left.
 TEST(Cuts, NoPartOfASipMessageIsTakenOrRefused) {
   const std::string whole =
