--- /dev/null
+++ b/tests/clocks/core_steps_test.cpp
@@ -0,0 +1,230 @@
+// The core in virtual time while the wall clock is stepped at each stage of a call: all that happens, and
+// when, stays what it is without a step.
+#include <gtest/gtest.h>
+
+#include <future>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "controlled_clocks.h"
+#include "core/core.h"
+
+namespace reeltack::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+enum class Stage { none, queued, sent, awaiting_release, sent_again, standing, unanswered, late, drain };
+constexpr Stage kStages[] = {Stage::queued,     Stage::sent,     Stage::awaiting_release,
+                             Stage::sent_again, Stage::standing, Stage::unanswered,
+                             Stage::late,       Stage::drain};
+constexpr Duration kSteps[] = {-1h, -5s, 5s, 1h};
+
+constexpr ServerId kEndpoint{1};
+constexpr CallId kAnswered{1};   // waits, is sent, is cut, is sent again, stands and is released
+constexpr CallId kForgotten{2};  // nobody answers it: its attempt times out
+constexpr CallId kLate{3};       // nor this one, whose caller has less time than an attempt
+constexpr CallId kDrained{4};    // open as the program ends
+constexpr Duration kReleaseGuard = 300ms;
+constexpr Duration kTurn = 5ms;  // of the virtual clock
+
+// Both sides of the core. Notes what it does, and when.
+class Recorder final : public core::OfficeSide, public core::CallerSide {
+ public:
+  void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*endpoints*/) override {}
+  void start(const core::SetUp& set_up) override {
+    note("start", set_up.call, set_up.attempt);
+    note("left in ms:", set_up.call, static_cast<std::uint32_t>((set_up.give_up - base::now()) / 1ms));
+  }
+  void give_up(ServerId /*endpoint*/, CallId call, std::uint32_t attempt) override {
+    note("give up", call, attempt);
+  }
+  void release(ServerId /*endpoint*/, CallId call) override { note("release", call); }
+  void keep(ServerId /*endpoint*/, bool calls_stand) override { note("keep", CallId{}, calls_stand); }
+  bool stands(CallId call, const std::string& /*description*/) override {
+    note("stands", call);
+    return true;
+  }
+  void refused(CallId call, core::Why why, Duration later) override {
+    note("refused " + std::to_string(later / 1ms), call, static_cast<std::uint32_t>(why));
+  }
+  void released(CallId call, int cause) override {
+    note("released", call, static_cast<std::uint32_t>(cause));
+  }
+  void over(CallId call) override { note("over", call); }
+
+  [[nodiscard]] std::vector<std::string> notes() const {
+    const std::lock_guard hold(lock_);
+    return notes_;
+  }
+  // When this happened, since the start.
+  [[nodiscard]] Duration when(const std::string& what, CallId call, std::uint32_t number = 0) const {
+    const std::lock_guard hold(lock_);
+    const auto at = times_.find(name(what, call, number));
+    return at == times_.end() ? Duration{-1} : at->second;
+  }
+
+ private:
+  static std::string name(const std::string& what, CallId call, std::uint32_t number) {
+    return what + " call " + std::to_string(static_cast<std::uint64_t>(call)) + " " + std::to_string(number);
+  }
+  void note(const std::string& what, CallId call, std::uint32_t number = 0) {
+    const std::lock_guard hold(lock_);
+    const Duration since = base::now() - begun_;
+    times_.emplace(name(what, call, number), since);
+    notes_.push_back(std::to_string(since / 1us) + " us: " + name(what, call, number));
+  }
+
+  const Time begun_ = base::now();
+  mutable std::mutex lock_;  // guards what follows
+  std::vector<std::string> notes_;
+  std::map<std::string, Duration> times_;
+};
+
+// One life of a core on the held clock, with a step of the wall clock at one of its stages.
+class Life {
+ public:
+  Life(Stage stage, Duration step) : stage_(stage), step_(step) {
+    core_.start(recorder_);
+    play();
+    core_.stop();
+  }
+  [[nodiscard]] const Recorder& recorder() const { return recorder_; }
+
+ private:
+  static Settings settings() {
+    Settings out;
+    out.classes.push_back({.aim = 10s, .deadline = 20s});
+    out.release_guard = kReleaseGuard;
+    out.attempts_cap = 5;
+    return out;
+  }
+  void play() {
+    core_.told(true, {{{.server = kEndpoint, .state = ServerState::ready}, "127.0.0.1:1"}});
+    report_lines(0.0);
+    request(kAnswered, 15s);
+    reach(Stage::queued);
+    pass(100ms);
+    report_lines(1.0);
+    pass(100ms);
+    reach(Stage::sent);
+    pass(200ms);
+    core_.send_failed(kAnswered, 0, Ending::reset);
+    settle();
+    reach(Stage::awaiting_release);
+    pass(500ms);
+    reach(Stage::sent_again);
+    pass(100ms);
+    core_.answered(kEndpoint, kAnswered, "by the endpoint");
+    settle();
+    reach(Stage::standing);
+    pass(2s);
+    core_.release(kAnswered, recorder_);
+    settle();
+    report_lines(1.0);
+    request(kForgotten, 1500ms);
+    pass(100ms);
+    reach(Stage::unanswered);
+    pass(2s);
+    report_lines(1.0);
+    request(kLate, 700ms);
+    pass(100ms);
+    reach(Stage::late);
+    pass(900ms);
+    report_lines(1.0);
+    request(kDrained, 10s);
+    pass(50ms);
+    reach(Stage::drain);
+    pass(500ms);
+    core_.refuse_all();
+    settle();
+    pass(100ms);
+  }
+  void reach(Stage stage) const {
+    if (stage == stage_) step_wall_clock(step_);
+  }
+  void request(CallId call, Duration patience) {
+    core::Request request;
+    request.told.call = call;
+    request.told.number = NumberCalled{7};
+    request.told.caller_leaves = base::now() + patience;
+    request.side = &recorder_;
+    core_.request(std::move(request));
+    settle();
+  }
+  void report_lines(double free) {
+    core_.reported(kEndpoint, {.free_lines = free, .lines = 1.0});
+    settle();
+  }
+  void pass(Duration span) {
+    for (Duration passed{}; passed < span; passed += kTurn) {
+      advance_steady_clock(kTurn);
+      settle();
+    }
+  }
+  // A question is answered before the timers and the module of its turn: after the second, the first turn is
+  // over.
+  void settle() {
+    for (int i = 0; i < 2; ++i) {
+      std::promise<void> answered;
+      core_.ask(CallId{~std::uint64_t{0}},
+                [&answered](const core::Status& /*status*/) { answered.set_value(); });
+      answered.get_future().wait();
+    }
+  }
+
+  const Stage stage_;
+  const Duration step_;
+  Recorder recorder_;
+  core::Core core_{settings(), 1};
+};
+
+class CoreSteps : public ::testing::Test {
+ protected:
+  CoreSteps() { hold_steady_clock(); }
+  ~CoreSteps() override { free_steady_clock(); }
+};
+
+// Else the steps would be at other stages than they say.
+TEST_F(CoreSteps, EachStageIsReached) {
+  const Life life(Stage::none, {});
+  const Recorder& r = life.recorder();
+  std::string all;
+  for (const std::string& note : r.notes()) all += note + "\n";
+  SCOPED_TRACE(all);
+  EXPECT_GE(r.when("start", kAnswered), 100ms) << "it waits in the queue first";
+  EXPECT_LE(r.when("start", kAnswered), 200ms);
+  EXPECT_GE(r.when("start", kAnswered, 1), 400ms + kReleaseGuard);
+  EXPECT_LE(r.when("start", kAnswered, 1), 900ms);
+  EXPECT_EQ(r.when("stands", kAnswered), 1000ms);
+  EXPECT_EQ(r.when("release", kAnswered), 3s);
+  EXPECT_GE(r.when("start", kForgotten), 3s);
+  EXPECT_EQ(r.when("give up", kForgotten), 4s);
+  const auto refused = [&r](CallId call, core::Why why) {
+    return r.when("refused 0", call, static_cast<std::uint32_t>(why));
+  };
+  EXPECT_EQ(refused(kForgotten, core::Why::tried_in_vain), 4s);
+  EXPECT_GE(r.when("start", kLate), 5100ms);
+  EXPECT_GE(refused(kLate, core::Why::deadline_passed), 5790ms);
+  EXPECT_LE(refused(kLate, core::Why::deadline_passed), 5800ms);
+  EXPECT_EQ(refused(kDrained, core::Why::tried_in_vain), 6650ms);
+}
+
+TEST_F(CoreSteps, NoStageNoticesAStepOfTheWallClock) {
+  const Life unstepped(Stage::none, {});
+  for (const Stage stage : kStages) {
+    for (const Duration step : kSteps) {
+      SCOPED_TRACE("stage " + std::to_string(static_cast<int>(stage)) + ", step " +
+                   std::to_string(step / 1s));
+      const Life stepped(stage, step);
+      EXPECT_EQ(stepped.recorder().notes(), unstepped.recorder().notes());
+    }
+  }
+}
+
+// What starts of endpoints become on the core's clock, and what the module sends them by it, is held by
+// listed_starts_test.cpp and by the slow start's worlds, which this program's check is linked into too.
+
+}  // namespace
+}  // namespace reeltack::test
