Age what discovery names after its first list by the program's start

Observed: before discovery was first followed, a start that it named was aged by the wall clock alone. With a clock an hour ahead and discovery out of reach as the program began, an endpoint that had restarted meanwhile looked an hour old and got its full load cold.

Ruled out: the same for the first list itself.

Change: once discovery has told its first list it counts as followed at the program's start, since the protocol numbers events anew from that moment. StartTimes::bound_offset no longer passes over starts that are not told: their bound is below any other, so that no result changes. Three tests told one first list as several; they tell it as one now (InitialListTellsAges..., ProcessOlderThan...), or name the later start by an endpoint (NewestStartBounds...): by discovery it would be limited to 7 s now.

--- a/src/clocks/start_times.cpp
+++ b/src/clocks/start_times.cpp
@@ -16,10 +16,11 @@
     for (const ServerEntry* entry : entries) bound_offset(now, entry->start);
   for (ServerEntry* entry : entries)
     entry->started_at = entry->start == StartId{} ? Time{} : keep(from, now, *entry);
+  // The first list is that of the program's start: what discovery names later has started since.
+  if (from == From::discovery && !followed_) followed_ = begun_.steady;
 }
 
 void StartTimes::bound_offset(const Reading& now, StartId start) {
-  if (start == StartId{}) return;
   const Duration bound = unix_of(start) - now.steady.time_since_epoch();
   least_offset_ = std::max(least_offset_.value_or(bound), bound);
 }
--- a/src/clocks/start_times.h
+++ b/src/clocks/start_times.h
@@ -19,7 +19,8 @@
 //   - A start newer than the one known of that endpoint, or of an endpoint not known, while discovery is
 //   followed:
 //     discovery has told it within kToldWithin, so that its age is that at the most, plus the time since
-//     discovery was last known to be followed.
+//     discovery was last known to be followed. The first list that it tells is that of the program's start,
+//     so that from then on it counts as having been followed at that moment.
 //   - Of an endpoint that registers itself discovery knows nothing. Its newer start is no older than the time
 //   since
 //     the process before was last told of, and the same allowance for noticing that it had ended.
--- a/tests/clocks/start_times_test.cpp
+++ b/tests/clocks/start_times_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <vector>
 
 namespace reeltack::clocks {
 namespace {
@@ -38,6 +39,12 @@
     times.fill(from, reading(wrong_by), one);
     return now_ - entry.started_at;
   }
+  // One list of discovery's.
+  void fill(StartTimes& times, std::vector<ServerEntry>& list) const {
+    std::vector<ServerEntry*> entries;
+    for (ServerEntry& e : list) entries.push_back(&e);
+    times.fill(From::discovery, reading(), entries);
+  }
   Time now_{100h};
 };
 
@@ -53,21 +60,22 @@
 
 TEST_F(Clocks, InitialListTellsAgesWhereTheWallClockIsRight) {
   StartTimes times(reading());
-  for (const Duration old : {0s, 3s, 30s, 3600s}) {
-    const auto id = static_cast<std::uint32_t>(old / 1s);
-    EXPECT_EQ(age(times, entry(id, start_of_age(old))), old);
-  }
+  std::vector<ServerEntry> list;
+  for (const Duration old : {0s, 3s, 30s, 3600s})
+    list.push_back(entry(static_cast<std::uint32_t>(old / 1s), start_of_age(old)));
+  fill(times, list);
+  for (const ServerEntry& e : list)
+    EXPECT_EQ(now_ - e.started_at, std::chrono::seconds(static_cast<std::uint32_t>(e.server)));
 }
 
 // What began before the steady clock did is as old as it is, or from long ago.
 TEST_F(Clocks, ProcessOlderThanTheMachinesClockIsFromLongAgo) {
   now_ = Time{10s};
   StartTimes times(reading());
-  EXPECT_EQ(age(times, entry(1, start_of_age(4s))), 4s);
-  ServerEntry e = entry(2, start_of_age(100h));
-  const std::array<ServerEntry*, 1> one{&e};
-  times.fill(From::discovery, reading(), one);
-  EXPECT_EQ(e.started_at, Time{});
+  std::vector<ServerEntry> list{entry(1, start_of_age(4s)), entry(2, start_of_age(100h))};
+  fill(times, list);
+  EXPECT_EQ(now_ - list[0].started_at, 4s);
+  EXPECT_EQ(list[1].started_at, Time{});
 }
 
 // Whichever way the wall clock was stepped since the program's start, the smaller age counts.
@@ -86,6 +94,9 @@
   StartTimes times(reading());
   EXPECT_EQ(age(times, entry(1, start_of_age(-20s))), 0s);
   EXPECT_EQ(age(times, entry(2, start_of_age(-20s)), -1h, From::controllers), 0s);
+  StartTimes unbounded(reading());  // by no start of discovery's
+  EXPECT_EQ(age(unbounded, entry(3, start_of_age(-20s)), 0s, From::controllers), 0s);
+  EXPECT_EQ(age(unbounded, entry(4, start_of_age(10s)), -1h, From::endpoint), 0s);
 }
 
 // A start told again, after a step or not, stays when it was; so does the one before it.
@@ -147,7 +158,35 @@
   EXPECT_EQ(now_ - old.started_at, 50min - 5s);
   // The bound holds on: what is heard later is aged by it too.
   now_ += 20s;
-  EXPECT_EQ(age(times, entry(4, start_of_age(30min)), -1h), 30min - 5s);
+  EXPECT_EQ(age(times, entry(4, start_of_age(30min)), -1h, From::endpoint), 30min - 5s);
+  // A later list of older ones alone does not take it back.
+  age(times, old, -1h);
+  EXPECT_EQ(age(times, entry(5, start_of_age(20min)), -1h, From::endpoint), 20min - 5s);
+}
+
+// Discovery's first list is that of our own start. What it names later has started since, also before it was
+// followed for the first time, as where it can't be reached at first.
+TEST_F(Clocks, StartNamedAfterTheFirstListIsNoOlderThanTheProgram) {
+  for (const Duration wrong : kSteps) {
+    StartTimes times(reading(wrong));
+    age(times, entry(1, start_of_age(50h)), wrong);
+    now_ += 100s;
+    const Duration most = 100s + kToldWithin;
+    EXPECT_LE(age(times, entry(1, start_of_age(90s)), wrong), most) << "a restart";
+    EXPECT_LE(age(times, entry(2, start_of_age(80s)), wrong), most) << "a new endpoint";
+    EXPECT_LE(age(times, entry(3, start_of_age(80s)), wrong, From::controllers), most);
+  }
+}
+
+// The first list itself is not: what runs in it may have run for long.
+TEST_F(Clocks, FirstListIsNotTakenForYoungHoweverLateItComes) {
+  StartTimes times(reading());
+  now_ += 100s;
+  EXPECT_EQ(age(times, entry(1, start_of_age(50h)), 0s, From::controllers), 50h) << "not discovery's";
+  std::vector<ServerEntry> list{entry(1, start_of_age(50h)), entry(2, start_of_age(40h))};
+  fill(times, list);
+  EXPECT_EQ(now_ - list[0].started_at, 50h);
+  EXPECT_EQ(now_ - list[1].started_at, 40h);
 }
 
 // Discovery knows nothing of an endpoint that registers itself: with a wall clock that is right, its age is
@@ -170,6 +209,14 @@
   }
 }
 
+// That discovery has told of an endpoint says nothing of since when it has registered.
+TEST_F(Clocks, EndpointThatDiscoveryAloneHasToldIsAsOldAsItSaysWhenItRegisters) {
+  StartTimes times(reading());
+  age(times, entry(1, start_of_age(50h)));
+  now_ += 10s;
+  EXPECT_EQ(age(times, entry(1, start_of_age(60s)), 0s, From::endpoint), 60s);
+}
+
 // Another's clock is no bound for ours: one that registers with a start in the future makes nobody older.
 TEST_F(Clocks, StartsOfOthersBoundNothing) {
   StartTimes times(reading());
@@ -178,6 +225,41 @@
   EXPECT_EQ(age(times, entry(3, start_of_age(3s))), 3s);
 }
 
+// Of an endpoint's many starts the newest are kept, and the oldest is aged anew by the wall clock.
+TEST_F(Clocks, KeepsTheNewestStartsOfAnEndpoint) {
+  StartTimes times(reading());
+  const StartId first = start_of_age(10s);
+  age(times, entry(1, first));
+  std::vector<StartId> starts;
+  for (std::size_t i = 0; i < kMostStarts; ++i) {
+    now_ += 60s;
+    times.followed(now_);
+    starts.push_back(start_of_age(3s));
+    EXPECT_EQ(age(times, entry(1, starts.back())), 3s);
+  }
+  const auto passed = [](std::size_t i) { return std::chrono::seconds(60 * (kMostStarts - 1 - i)); };
+  for (std::size_t i = 0; i < starts.size(); ++i)
+    EXPECT_EQ(age(times, entry(1, starts[i]), -1h), 3s + passed(i)) << i;
+  // Forgotten, and aged anew: by the wall clock and its bound, which the youngest has set.
+  EXPECT_EQ(age(times, entry(1, first), -1h), 10s + 60s * kMostStarts - 3s);
+}
+
+// Which endpoint is forgotten: the one that started the longest ago, which is found to be old again.
+TEST_F(Clocks, ForgetsTheEndpointThatStartedTheLongestAgo) {
+  StartTimes times(reading());
+  std::vector<ServerEntry> list;
+  for (std::uint32_t id = 0; id < kMostEndpoints; ++id)
+    list.push_back(entry(id, start_of_age(id == 7 ? 9h : 1h + std::chrono::seconds(id))));
+  fill(times, list);
+  age(times, entry(kMostEndpoints, start_of_age(30min)), 0s, From::endpoint);
+  EXPECT_EQ(times.endpoints(), kMostEndpoints);
+  const ServerEntry latest = entry(kMostEndpoints, start_of_age(30min));
+  EXPECT_EQ(age(times, latest, -10min, From::endpoint), 30min) << "kept, so that no step moves it";
+  for (const std::uint32_t id : {0U, 1U, 8U, 100U})
+    EXPECT_EQ(age(times, list[id], 3600s), 1h + std::chrono::seconds(id)) << "kept as well";
+  EXPECT_EQ(age(times, list[7], -10min, From::endpoint), 9h - 10min) << "forgotten: by the wall clock";
+}
+
 TEST_F(Clocks, KeepsABoundedNumberOfEndpoints) {
   StartTimes times(reading());
   const StartId last = start_of_age(1s);
