Count a kept stage as fresh by its true age alone

Observed: a record on disk carried the wall clock's time alone. Stepped back while the controller was off by about as long as it was off, a stage of any age looked younger than `fresh` (15 s) and passed for an ordinary restart's.

Ruled out: a bound by the wall clock alone, since both readings are equal in the two cases; refusing every kept age, which would make each restart look like a return from a loss.

To blame: Keeping::read (src/fleet/service/keeping.cpp), which took the difference of two wall clocks for an age, and read_kept, which took it for the stage's.

Change: a record carries the name of the boot and CLOCK_BOOTTIME beside Unix time (form 2; form 1 is read still and has no boot). On the same boot that gives the true age; across a boot, without one, or from the future it is unknown, and an unknown age is not fresh.

Not run: the fleet's processes.

--- a/src/fleet/recovery/recovery_types.h
+++ b/src/fleet/recovery/recovery_types.h
@@ -38,9 +38,9 @@
   std::vector<Duration> class_aim;
 };
 
-// ---- what the store kept; ages by the wall clock, absent where unknown, in the future, or of another fleet.
+// ---- what the store kept; ages absent where unknown, in the future, or of another fleet.
 struct Kept {
-  std::optional<Duration> age;
+  std::optional<Duration> age;  // of the stage: the true one, never by a wall clock
   bool other_fleet = false;
   std::uint64_t list_epoch = 0, list_number = 0;
   std::vector<Evidence> offices;     // rank kept
--- a/src/fleet/recovery/values.cpp
+++ b/src/fleet/recovery/values.cpp
@@ -104,6 +104,7 @@
   Reader reader(record.value);
   const std::uint64_t epoch = reader.number(~std::uint64_t{0});
   const std::uint64_t number = reader.number(~std::uint64_t{0});
+  const std::optional<Duration> age = record.age ? record.age : record.age_by_wall_clock;
   std::vector<Evidence> offices;
   while (reader.good() && !reader.done() && offices.size() < kMostValueOffices) {
     Evidence e;
@@ -113,7 +114,7 @@
     e.seen = reader.seen();
     const std::optional<Duration> within = reader.none() ? std::nullopt : std::optional(reader.age());
     if (!reader.none()) e.warm = reader.age();
-    if (within && record.age && *record.age >= Duration{} && !other_fleet) e.age = *record.age + *within;
+    if (within && age && *age >= Duration{} && !other_fleet) e.age = *age + *within;
     offices.push_back(e);
   }
   if (!reader.done()) return;  // not a part of it is taken
--- a/src/fleet/recovery/values.h
+++ b/src/fleet/recovery/values.h
@@ -72,11 +72,15 @@
 
 std::string write_kept_list(ListId list, const std::vector<Evidence>& offices);
 
-// A record as the store gave it back; age by the wall clock since it was written: none where unknown or in
-// the future. Records of other keys are passed over. None: no record of recovery is there that can be read.
+// A record as the store gave it back; ages since it was written. Records of other keys are passed over. None:
+// no record of recovery is there that can be read.
 struct Record {
   std::string key, value;
+  // The true one, which no step of a wall clock has moved; none where it is not known, as across a boot.
   std::optional<Duration> age;
+  // By the wall clock, which may have been stepped since; none where it is in the future. It ranks what is
+  // remembered, and proves nothing to be fresh.
+  std::optional<Duration> age_by_wall_clock = std::nullopt;
 };
 std::optional<Kept> read_kept(std::span<const Record> records, bool other_fleet);
 
--- a/src/fleet/service/keeping.cpp
+++ b/src/fleet/service/keeping.cpp
@@ -4,6 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "base/boot_clock.h"
 #include "base/wall_clock.h"
 #include "fleet/recovery/values.h"
 
@@ -33,22 +34,24 @@
 
 Keeping::Keeping(const config::Controllers& settings, const std::string& owner, Say say)
     : fleet_(settings.fleet), owner_(owner), say_(std::move(say)) {
-  const base::WallTime wall = base::wall_now() + settings.wall_offset;
+  Moment now{base::wall_now(), base::boot_now()};
+  now.wall += settings.wall_offset;
+  now.since_boot.since_boot += settings.wall_offset;
   // Above what any earlier start has taken, where neither a store nor another member knows of it.
   incarnation_ = static_cast<Incarnation>(std::max<std::int64_t>(
-      1, std::chrono::duration_cast<std::chrono::seconds>(wall.time_since_epoch()).count()));
+      1, std::chrono::duration_cast<std::chrono::seconds>(now.wall.time_since_epoch()).count()));
   if (settings.store.empty()) return;
-  open(settings, wall);
+  open(settings, now);
 }
 
-void Keeping::open(const config::Controllers& settings, base::WallTime wall) {
+void Keeping::open(const config::Controllers& settings, const Moment& now) {
   store::StoreSettings where;
   where.dir = settings.store;
   where.fleet = fleet_;
   where.owner = owner_;
   store::Opened opened = store::Store::open(where);
   if (opened.how == store::Opened::How::refused) throw std::runtime_error(opened.why);
-  read(opened.kept, wall);
+  read(opened.kept, now);
   say_("store", std::string("dir=\"") + settings.store + "\" how=" + std::string(store::name(opened.how)) +
                     " records=" + std::to_string(opened.kept.size()) + " foreign=" +
                     std::to_string(opened.foreign) + " incarnation=" + std::to_string(incarnation_) +
@@ -74,20 +77,21 @@
 }
 
 // A copied disk tells of another controller: what it says of offices counts as the oldest, its numbers not.
-void Keeping::read(const std::vector<store::Kept>& records, base::WallTime wall) {
+void Keeping::read(const std::vector<store::Kept>& records, const Moment& now) {
   bool other_fleet = false;
   std::vector<recovery::Record> out;
   for (const store::Kept& r : records) {
     const bool own = r.fleet == fleet_ && r.owner == owner_;
     other_fleet = other_fleet || r.fleet != fleet_;
-    std::optional<Duration> age;
-    if (own && r.written_at <= wall) age = wall - r.written_at;
+    recovery::Record record{r.key, r.value, std::nullopt};
+    if (own) record.age = clocks::elapsed(r.written_since_boot, now.since_boot);
+    if (own && r.written_at <= now.wall) record.age_by_wall_clock = now.wall - r.written_at;
     if (r.key == kIncarnationKey && own) incarnation_ = std::max(incarnation_, number_of(r.value) + 1);
     if (r.key == kMembersKey && r.fleet == fleet_) members_ = read_members(r.value);
     if (r.key == drift::kVoteRecord && own) rules_.vote = r.value;
     if (r.key == drift::kHeldRecord && own) rules_.held = r.value;
     if (r.key == drift::kApprovedRecord && r.fleet == fleet_) rules_.approved = r.value;
-    out.push_back({r.key, r.value, age});
+    out.push_back(std::move(record));
   }
   if (other_fleet) members_.clear();
   kept_ = recovery::read_kept(out, other_fleet);
--- a/src/fleet/service/keeping.h
+++ b/src/fleet/service/keeping.h
@@ -1,11 +1,12 @@
 // What the fleet keeps: opens the store, reads what was kept, and hands on what is to last.
 //
-// Owns: the keeper, what the store held at the start, and how old it is by the wall clock; the promises (the
+// Owns: the keeper, what the store held at the start, and how old it is; the promises (the
 //   own vote, the version that it is for, the approved version, the own incarnations) until the store has
 //   them.
-// Must never: trust an age that the clock cannot prove (one in the future, or of another owner's disk, is
-//   none), report a vote as kept that is not, write a promise over an unread one of an earlier life, or let
-//   the fleet wait for a disk: after kNotDurable an incarnation goes out all the same, and that is said.
+// Must never: trust an age that cannot be proven (of another boot of the machine the wall clock alone tells
+//   it; in the future, or of another owner's disk, it is none), report a vote as kept that is not, write a
+//   promise over an unread one of an earlier life, or let the fleet wait for a disk: after kNotDurable an
+//   incarnation goes out all the same, and that is said.
 //
 // Threads: the constructor and flush() by the program's own, before and after the link's; the rest by the
 // link's. Errors: the constructor throws std::runtime_error where another process has the store.
@@ -48,8 +49,12 @@
   [[nodiscard]] store::KeeperCounts counts() const;
 
  private:
-  void open(const config::Controllers& settings, clocks::WallTime wall);
-  void read(const std::vector<store::Kept>& records, clocks::WallTime wall);
+  struct Moment {
+    clocks::WallTime wall{};
+    clocks::BootTime since_boot{};
+  };
+  void open(const config::Controllers& settings, const Moment& now);
+  void read(const std::vector<store::Kept>& records, const Moment& now);
   void hand_over();
   void take_late();
   void resolve(const std::vector<store::Kept>& found);
--- a/src/store/contents.cpp
+++ b/src/store/contents.cpp
@@ -46,7 +46,7 @@
   if (rc == SQLITE_OK) rc = database.run(kTable);
   if (rc == SQLITE_OK) rc = first.prepare(database.handle(), "INSERT INTO record VALUES(?1, ?2)");
   if (rc == SQLITE_OK) {
-    const std::string bytes = sealed({}, clocks::WallTime{});
+    const std::string bytes = sealed({}, {});
     first.bind(1, kSealKey);
     first.bind(2, bytes);
     rc = first.run();
@@ -158,7 +158,7 @@
 }
 
 // The new sums are worked out beside the old ones, which stay until the disk has said yes.
-Written Contents::apply(const std::map<std::string_view, const Change*>& last, clocks::WallTime at) {
+Written Contents::apply(const std::map<std::string_view, const Change*>& last, const Moment& at) {
   Seal next = seal;
   ++next.generation;
   int rc = begin.run();
@@ -174,8 +174,7 @@
       rc = take.run();
       continue;
     }
-    const std::string bytes =
-        encode(Kept{change->key, *change->value, settings.fleet, settings.owner, settings.format, at});
+    const std::string bytes = record(change->key, *change->value, at);
     put.bind(1, key);
     put.bind(2, bytes);
     rc = put.run();
--- a/src/store/contents.h
+++ b/src/store/contents.h
@@ -42,10 +42,16 @@
   // Whether what was written is where the next opening will look for it.
   Written still_there();
   // One transaction, durable where ok(); keys and sizes are checked before.
-  Written apply(const std::map<std::string_view, const Change*>& last, clocks::WallTime at);
-  std::string sealed(const Seal& value, clocks::WallTime at) const {
-    return encode(
-        Kept{std::string(kSealKey), encode(value), settings.fleet, settings.owner, settings.format, at});
+  struct Moment {
+    clocks::WallTime wall{};
+    clocks::BootTime since_boot{};
+  };
+  Written apply(const std::map<std::string_view, const Change*>& last, const Moment& at);
+  std::string record(const std::string& key, const std::string& value, const Moment& at) const {
+    return encode(Kept{key, value, settings.fleet, settings.owner, settings.format, at.wall, at.since_boot});
+  }
+  std::string sealed(const Seal& value, const Moment& at) const {
+    return record(std::string(kSealKey), encode(value), at);
   }
   void unload() {
     for (Statement* s : {&begin, &commit, &rollback, &put, &take}) s->drop();
--- a/src/store/keeper.cpp
+++ b/src/store/keeper.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "base/boot_clock.h"
 #include "base/wall_clock.h"
 
 namespace reeltack::store {
@@ -222,7 +223,7 @@
   if (!batch.empty()) {
     changes.reserve(batch.size());
     for (auto& [key, value] : batch) changes.push_back({key, std::move(value)});
-    done = store_->write(changes, base::wall_now());
+    done = store_->write(changes, base::wall_now(), base::boot_now());
   }
   io_failures_ = done.why == Why::io ? io_failures_ + 1 : 0;
   if (done.why == Why::damaged || io_failures_ >= kReopenAfter) store_.reset();
--- a/src/store/record.cpp
+++ b/src/store/record.cpp
@@ -3,10 +3,14 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace reeltack::store {
 namespace {
 
-constexpr std::uint8_t kForm = 1;
+constexpr std::uint8_t kForm = 2;
+constexpr std::uint8_t kFormWithoutBoot = 1;
+constexpr std::size_t kFixedBytes = 45;  // of a record, without its names and value
 
 void add(std::string& to, std::uint64_t value, int bytes) {
   for (int i = 0; i < bytes; ++i) to += static_cast<char>(value >> (8 * i) & 0xff);
@@ -43,14 +47,25 @@
   }
 };
 
+clocks::BootTime take_boot_time(Reader& from) {
+  clocks::BootTime out;
+  const std::string_view boot = from.take(out.boot.size());
+  std::copy(boot.begin(), boot.end(), out.boot.begin());
+  out.since_boot = Duration{static_cast<Duration::rep>(number(from.take(8)))};
+  return out;
+}
+
 }  // namespace
 
 std::string encode(const Kept& record) {
   std::string out;
-  out.reserve(record.value.size() + record.fleet.size() + record.owner.size() + 21);
+  out.reserve(record.value.size() + record.fleet.size() + record.owner.size() + kFixedBytes);
   add(out, kForm, 1);
   add(out, record.format, 2);
   add(out, static_cast<std::uint64_t>(record.written_at.time_since_epoch().count()), 8);
+  const clocks::BootTime& since_boot = record.written_since_boot;
+  out.append(since_boot.boot.begin(), since_boot.boot.end());
+  add(out, static_cast<std::uint64_t>(since_boot.since_boot.count()), 8);
   add(out, record.fleet.size(), 1);
   out += record.fleet;
   add(out, record.owner.size(), 1);
@@ -73,7 +88,7 @@
   }
   Reader from{bytes.substr(0, bytes.size() - 8)};
   const std::uint64_t form = number(from.take(1));
-  if (form != kForm) {
+  if (form != kForm && form != kFormWithoutBoot) {
     why = "has form " + std::to_string(form) + ", known is " + std::to_string(kForm);
     return std::nullopt;
   }
@@ -81,6 +96,7 @@
   out.key = key;
   out.format = static_cast<std::uint16_t>(number(from.take(2)));
   out.written_at = clocks::WallTime{Duration{static_cast<Duration::rep>(number(from.take(8)))}};
+  if (form == kForm) out.written_since_boot = take_boot_time(from);
   out.fleet = from.take(number(from.take(1)));
   out.owner = from.take(number(from.take(1)));
   if (!from.ok) {
--- a/src/store/record.h
+++ b/src/store/record.h
@@ -2,9 +2,10 @@
 //
 // Owns: the form and its version. Must never: do I/O, or take bytes whose checksum is wrong.
 //
-// Form 1, numbers with the low byte first: form (1 byte), format of the value (2), written-at in nanoseconds
-// of the Unix clock (8), fleet's length (1) and fleet, owner's length (1) and owner, value, and XXH3 (8;
-// xxHash 0.8, 64 bits) over the key's length (2), the key and all that stands before.
+// Form 2, numbers with the low byte first: form (1 byte), format of the value (2), written-at in nanoseconds
+// of the Unix clock (8), name of the boot (16) and nanoseconds since it (8), fleet's length (1) and fleet,
+// owner's length (1) and owner, value, and XXH3 (8; xxHash 0.8, 64 bits) over the key's length (2), the key
+// and all that stands before. Form 1, which is read still, has no boot.
 #pragma once
 
 #include <cstdint>
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -111,7 +111,8 @@
   return out;
 }
 
-Written Store::write(const std::vector<Change>& changes, clocks::WallTime written_at) {
+Written Store::write(const std::vector<Change>& changes, clocks::WallTime written_at,
+                     const clocks::BootTime& written_since_boot) {
   Inside& in = *inside_;
   if (in.damaged) return in.fail(Why::damaged, "was found damaged; open it anew");
   std::map<std::string_view, const Change*> last;
@@ -124,7 +125,7 @@
     last[c.key] = &c;
   }
   Written done = in.bound_log();
-  if (done.ok()) done = in.apply(last, written_at);
+  if (done.ok()) done = in.apply(last, {written_at, written_since_boot});
   if (done.ok()) done = in.still_there();
   if (done.why == Why::damaged) {
     in.damaged = true;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,9 +8,10 @@
 //   by the core (it waits for the disk; see store/keeper.h).
 //
 // Threads: one at a time. Errors: none is thrown but std::bad_alloc; each call says what went wrong in words
-// that name the file. Times: the Unix clock, told by the caller. A full disk comes as an error; where a limit
-// on a file's size is set for the process (RLIMIT_FSIZE), SIGXFSZ must be ignored for it to come as one.
-// Sources: SQLite's file format and its "Atomic Commit" and "Write-Ahead Logging"; docs/design/store.md.
+// that name the file. Times: the Unix clock and the machine's since its boot, told by the caller. A full disk
+// comes as an error; where a limit on a file's size is set for the process (RLIMIT_FSIZE), SIGXFSZ must be
+// ignored for it to come as one. Sources: SQLite's file format and its "Atomic Commit" and "Write-Ahead
+// Logging"; docs/design/store.md.
 #pragma once
 
 #include <cstddef>
@@ -21,6 +22,7 @@
 #include <string_view>
 #include <vector>
 
+#include "clocks/boot_time.h"
 #include "clocks/wall_time.h"
 #include "reeltack/controller.h"
 #include "store/faults.h"
@@ -59,6 +61,7 @@
   std::string owner;
   std::uint16_t format = 0;
   clocks::WallTime written_at{};
+  clocks::BootTime written_since_boot{};  // its boot is not known in records of older programs
 };
 
 enum class Why {
@@ -91,7 +94,8 @@
   // All changes or none, durable on return where ok(); otherwise the old or the new state is what a later
   // open() finds (the old one, unless the power goes in the same moment). Of several changes to a key the
   // last counts.
-  Written write(const std::vector<Change>& changes, clocks::WallTime written_at);
+  Written write(const std::vector<Change>& changes, clocks::WallTime written_at,
+                const clocks::BootTime& written_since_boot = {});
 
   [[nodiscard]] const std::string& file() const;
   [[nodiscard]] std::uint64_t generation() const;  // batches ever written to this file
--- a/tests/fleet/keeping_test.cpp
+++ b/tests/fleet/keeping_test.cpp
@@ -5,7 +5,10 @@
 #include <atomic>
 #include <thread>
 
+#include "base/boot_clock.h"
+#include "base/wall_clock.h"
 #include "faulty_vfs.h"
+#include "fleet/recovery/values.h"
 #include "script.h"
 
 namespace reeltack::fleet {
@@ -43,6 +46,15 @@
     const std::lock_guard lock(mutex_);
     return log_;
   }
+  // As an earlier life, which ended at these moments, has left it.
+  void leave_stage(const std::string& stage, clocks::WallTime at, const clocks::BootTime& since_boot) const {
+    store::StoreSettings store;
+    store.dir = settings_.store;
+    store.fleet = settings_.fleet;
+    store.owner = "n0";
+    store::Opened opened = store::Store::open(store);
+    ASSERT_TRUE(opened.store->write({{recovery::kStageRecord, stage}}, at, since_boot).ok()) << opened.why;
+  }
   [[nodiscard]] std::string file() const { return settings_.store + "/store.db"; }
   void set_clock_back(Duration by) { settings_.wall_offset = -by; }
   std::atomic<bool> fails{false};
@@ -200,5 +212,63 @@
   EXPECT_EQ(keeping->rules().held, write(voted));
 }
 
+TEST(Keeping, WhatOneLifeHasKeptIsOfKnownAgeInTheNext) {
+  Disk disk;
+  const clocks::BootTime before = base::boot_now();
+  {
+    const auto keeping = disk.start();
+    const recovery::StageValue full{.stage = recovery::Stage::full};
+    keeping->put(Store{recovery::kStageRecord, write(full), std::nullopt});
+    keeping->flush(30s);
+  }
+  const auto keeping = disk.start();
+  ASSERT_TRUE(keeping->kept());
+  ASSERT_TRUE(keeping->kept()->age);
+  EXPECT_LE(*keeping->kept()->age, clocks::elapsed(before, base::boot_now()));
+}
+
+// The age of what is kept, with the wall clock right or stepped by an hour while the controller was off.
+class KeptStage : public ::testing::TestWithParam<std::chrono::seconds> {
+ protected:
+  [[nodiscard]] std::optional<Duration> age(const clocks::BootTime& written) const {
+    Disk disk;
+    disk.leave_stage(write(recovery::StageValue{.stage = recovery::Stage::full}),
+                     base::wall_now() - kOld - GetParam(), written);
+    const auto keeping = disk.start();
+    EXPECT_TRUE(keeping->kept());
+    return keeping->kept() ? keeping->kept()->age : std::nullopt;
+  }
+  static constexpr Duration kOld = 10min;
+};
+
+TEST_P(KeptStage, OfThisBootIsAsOldAsItIsWhateverTheWallClockSays) {
+  clocks::BootTime written = base::boot_now();
+  ASSERT_NE(written.boot, clocks::BootId{});
+  written.since_boot -= kOld;
+  const std::optional<Duration> found = age(written);
+  ASSERT_TRUE(found);
+  EXPECT_GE(*found, kOld);
+  EXPECT_LE(*found, base::boot_now().since_boot - written.since_boot);
+}
+
+TEST_P(KeptStage, OfAnotherBootOrNoneIsOfUnknownAge) {
+  clocks::BootTime written = base::boot_now();
+  EXPECT_FALSE(age({{}, written.since_boot - kOld})) << "an older program's record";
+  written.boot[0] ^= 1U;
+  EXPECT_FALSE(age(written)) << "the machine has booted since, or the disk was moved";
+}
+
+TEST_P(KeptStage, FromTheFutureOfThisBootIsOfUnknownAge) {
+  clocks::BootTime written = base::boot_now();
+  written.since_boot += 1h;
+  EXPECT_FALSE(age(written));
+}
+
+INSTANTIATE_TEST_SUITE_P(WallClock, KeptStage, ::testing::Values(-3600s, -600s, -595s, 0s, 3600s),
+                         [](const auto& stepped) {
+                           return (stepped.param < 0s ? "back_" : "ahead_") +
+                                  std::to_string(std::abs(stepped.param.count())) + "_s";
+                         });
+
 }  // namespace
 }  // namespace reeltack::fleet
--- a/tests/fleet/recovery_alone_test.cpp
+++ b/tests/fleet/recovery_alone_test.cpp
@@ -58,6 +58,33 @@
   }
 }
 
+// The wall clock may have been stepped back while the controller was off: what is an hour old looks a second
+// old. By such an age offices are ranked, and no stage is fresh.
+TEST(RecoveryAlone, AStageWhoseAgeIsByTheWallClockAloneIsNotFresh) {
+  const StageValue full{.stage = Stage::full, .agreed = 1, .largest = 1, .served = true};
+  const std::vector<Evidence> offices = kept(Stage::full, 4, 0s).offices;
+  const std::string list = write_kept_list({}, offices);
+  for (const bool link : {false, true}) {
+    const Record by_wall[] = {{kStageRecord, write(full), std::nullopt, 1s},
+                              {kListRecord, list, std::nullopt, 1s}};
+    const std::optional<Kept> unsure = read_kept(by_wall, false);
+    ASSERT_TRUE(unsure);
+    EXPECT_FALSE(unsure->age);
+    ASSERT_EQ(unsure->offices.size(), 4U);
+    EXPECT_EQ(unsure->offices[0].age, 1s);
+    Alone alone(unsure, link);
+    alone.fleet.run(720ms);
+    EXPECT_TRUE(alone.recovery().recovering());
+    const Record proven[] = {{kStageRecord, write(full), 1s, 20h}, {kListRecord, list, 2s, 20h}};
+    const std::optional<Kept> sure = read_kept(proven, false);
+    ASSERT_TRUE(sure);
+    EXPECT_EQ(sure->offices[0].age, 2s) << "the true age counts before the wall clock's";
+    Alone restarted(sure, link);
+    restarted.fleet.run(720ms);
+    EXPECT_FALSE(restarted.recovery().recovering());
+  }
+}
+
 // Nobody can be asked, and the store is a day old: within a second an office is on trial with us, and its
 // answer makes it trusted at once.
 TEST(RecoveryAlone, WithADayOldStoreTheOwnTrialsBringServiceBack) {
--- a/tests/store/folder_test.cpp
+++ b/tests/store/folder_test.cpp
@@ -8,6 +8,8 @@
 namespace reeltack::store {
 namespace {
 
+const clocks::BootTime kWritten{{1, 2, 3, 255}, Duration{123'456'789'012}};
+
 TEST(StoreFolder, ASecondProcessIsRefusedByNameUntilTheFirstIsDead) {
   const TempDir temp;
   int ready[2];
@@ -40,7 +42,7 @@
   {
     Opened o = Store::open(s);
     EXPECT_EQ(o.how, How::fresh);
-    ASSERT_TRUE(o.store->write({{"a", "1"}, {"b", ""}}, WallTime{Duration{77}}).ok());
+    ASSERT_TRUE(o.store->write({{"a", "1"}, {"b", ""}}, WallTime{Duration{77}}, kWritten).ok());
     EXPECT_EQ(o.store->generation(), 1u);
   }
   copy_folder(temp / "s", temp / "copy");
@@ -55,6 +57,8 @@
     EXPECT_EQ(o.kept[0].fleet + " " + o.kept[0].owner + " " + o.kept[0].value, "fleet-1 controller-1 1");
     EXPECT_EQ(o.kept[0].format, 3);
     EXPECT_EQ(o.kept[0].written_at, WallTime{Duration{77}});
+    EXPECT_EQ(o.kept[0].written_since_boot.boot, kWritten.boot);
+    EXPECT_EQ(o.kept[0].written_since_boot.since_boot, kWritten.since_boot);
     ASSERT_TRUE(o.store->write({{"a", "2"}}, WallTime{}).ok());
   }
   EXPECT_EQ(Store::open(s).foreign, 1u);
