Work a trunk's patience out as its signal leaves

Observed: Trunk::start worked out the patience of a set-up as it queued the signal, encoded. Behind others, or while the far end did not read, it waited for up to kMostQueued (4 MiB) and then said more than its caller had left.

Ruled out: patching the encoded bytes (a varint changes its length), and working it out as the queue is handed to the connection: a far end that reads slowly takes that in parts.

To blame: Trunk::start and carry_out (src/trunk/trunk.cpp), out_ and the local copy in serve().

What the connection does not take is encoded anew the next time; a signal whose first byte has left goes on as it was. At nought the far end refuses. A ping goes the same way. Outbox does no I/O and reads no clock.

Not tested: a far end that stalls, over a socket.

--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -23,6 +23,7 @@
 constexpr Duration kAgain = 200ms;
 constexpr Duration kRefused = 1s;  // after a handshake that failed
 constexpr Duration kTurn = 100ms;
+constexpr Duration kLeastPatience = 1ms;
 constexpr std::size_t kMostQueued = std::size_t{4} * 1024 * 1024;
 
 // Q.850, as the far end's core and ours mean them.
@@ -101,9 +102,9 @@
   Words words;
   words.set_up.call_class = set_up.call_class < class_names_.size() ? class_names_[set_up.call_class] : "";
   words.set_up.number = static_cast<std::uint64_t>(set_up.number);
-  const auto left = std::chrono::floor<std::chrono::milliseconds>(set_up.give_up - base::now()).count();
-  if (left <= 0) return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
-  words.set_up.patience_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(left, 3'600'000));
+  if (set_up.give_up - base::now() < kLeastPatience)
+    return core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  words.give_up = set_up.give_up;
   words.set_up.first_choice = settings_.far_place;
   words.description = set_up.description;
   circuits::GroupActions actions;
@@ -224,7 +225,7 @@
       if (send->message.kind == Kind::iam || send->message.kind == Kind::anm)
         signal.description = words.description;
       if (send->message.kind == Kind::rel) signal.later_ms = words.later_ms;
-      out_ += encode(signal);
+      outbox_.add(std::move(signal), words.give_up);
     } else if (const auto* o = std::get_if<circuits::Offered>(&a)) {
       if (from != nullptr) offer(o->call, *from);
     } else if (const auto* n = std::get_if<circuits::Answered>(&a)) {
@@ -304,7 +305,7 @@
       circuits::GroupActions actions;
       group_.fire(tick(), actions);
       carry_out(actions, {}, nullptr);
-      out_.clear();  // nobody is there to read it
+      outbox_.clear();  // nobody is there to read it
     }
     report();
     pollfd p{wake_read_.get(), POLLIN, 0};
@@ -396,7 +397,7 @@
 void Trunk::serve(const net::Fd& fd, net::Buffer& buffer) {
   {
     const std::lock_guard hold(lock_);
-    out_.clear();
+    outbox_.clear();
     circuits::GroupActions actions;
     group_.connected(tick(), actions);
     carry_out(actions, {}, nullptr);
@@ -404,8 +405,6 @@
     ++connections_;
   }
   log("connected");
-  std::string writing;
-  std::size_t written = 0;
   Time heard = base::now();
   Time spoke = heard;
   std::string why;
@@ -419,16 +418,20 @@
       group_.fire(tick(), actions);
       carry_out(actions, {}, nullptr);
       due = std::min(due, group_.next_due());
-      if (writing.empty() && !out_.empty()) writing.swap(out_);
-      if (out_.size() > kMostQueued) why = "it does not read";
+      if (outbox_.bytes() > kMostQueued) why = "it does not read";
+      if (outbox_.bytes() == 0 && base::now() >= spoke + kPing) outbox_.add_ping();
     }
     report();
     const Time now = base::now();
-    if (writing.empty() && now >= spoke + kPing) writing = encode_ping();
     if (now >= heard + kSilence) why = "it is silent";
     if (!why.empty()) break;
+    std::string writing;
+    {
+      const std::lock_guard hold(lock_);
+      writing = outbox_.due(now);
+    }
     if (!writing.empty()) {
-      const ssize_t n = net::sys::send(fd.get(), writing.data() + written, writing.size() - written);
+      const ssize_t n = net::sys::send(fd.get(), writing.data(), writing.size());
       if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ENOBUFS &&
           errno != ENOMEM) {
         why = "it is gone";
@@ -436,12 +439,11 @@
       }
       if (n > 0) {
         spoke = now;
-        written += static_cast<std::size_t>(n);
-        if (written == writing.size()) {
-          writing.clear();
-          written = 0;
-          continue;  // more may have come meanwhile
+        {
+          const std::lock_guard hold(lock_);
+          outbox_.written(static_cast<std::size_t>(n));
         }
+        if (static_cast<std::size_t>(n) == writing.size()) continue;  // more may have come meanwhile
       }
     }
     pollfd waits[2] = {{fd.get(), static_cast<short>(POLLIN | (writing.empty() ? 0 : POLLOUT)), 0},
@@ -462,7 +464,7 @@
   circuits::GroupActions actions;
   group_.broken(tick(), actions);
   carry_out(actions, {}, nullptr);
-  out_.clear();
+  outbox_.clear();
   state_ = "down: " + why;
 }
 
--- a/src/trunk/trunk.h
+++ b/src/trunk/trunk.h
@@ -19,6 +19,7 @@
 #include "core/office_list.h"
 #include "net/buffers.h"
 #include "trunk/codec.h"
+#include "trunk/outbox.h"
 
 namespace reeltack::trunk {
 
@@ -65,6 +66,7 @@
  private:
   struct Words {  // what goes with the message that the group will send for this call
     SetUpWords set_up;
+    Time give_up{};  // when the caller of the set-up waits no longer
     std::string description;
     std::uint32_t later_ms = 0;
   };
@@ -95,7 +97,7 @@
   mutable std::mutex lock_;  // guards what follows
   circuits::Group group_;
   std::unordered_map<CallId, std::uint32_t> attempts_;  // of calls that are out
-  std::string out_;
+  Outbox outbox_;
   Time last_{};
   std::string state_ = "never connected";
   std::uint64_t connections_ = 0;
