--- /dev/null
+++ b/tests/store/judge.h
@@ -0,0 +1,34 @@
+// The verdict on a folder whose files a test has damaged.
+#pragma once
+
+#include <cstring>
+
+#include "script.h"
+
+namespace reeltack::store {
+
+struct Tally {
+  int right = 0, aside = 0, by_seal = 0;
+};
+// Opens the damaged folder: one of `allowed`, or set aside with the bytes kept.
+inline void judge(const std::string& dir, const std::vector<State>& allowed, const std::string& file,
+                  const std::string& bytes, const std::string& at, Tally& tally) {
+  const Opened o = Store::open(settings(dir));
+  ASSERT_TRUE(o.store) << at << ": " << o.why;
+  if (o.how == How::set_aside) {
+    ++tally.aside;
+    tally.by_seal += o.why.find("sealed") != std::string::npos ? 1 : 0;
+    EXPECT_TRUE(o.kept.empty());
+    EXPECT_TRUE(fs::exists(o.where)) << at;
+    const std::string end = file.substr(std::strlen("store.db"));
+    EXPECT_EQ(slurp(o.where + end), bytes) << at << ": not kept as it was";
+    return;
+  }
+  ++tally.right;
+  const State found = state_of(o);
+  bool fits = false;
+  for (const State& s : allowed) fits = fits || found == s;
+  EXPECT_TRUE(fits) << at << ": wrong content taken for right";
+}
+
+}  // namespace reeltack::store
