Keep the store's promises on disks that are full of records, hang or are read-only

Observed, each by a test on an injected disk: a batch that takes the store over its 4,096 records is refused whole, so an overwrite beside it is never durable; with a call that does not return nothing is logged and the program's end waits for it; a store whose files can be read and not be written is not read. Ruled out: that a batch alone is too large (the bound is on the records stored, and the queue holds 4,096 keys over whatever the store has); a time limit on the calls themselves (a call in the kernel cannot be taken back); reading with SQLite's immutable flag, which leaves out the log. To blame: Keeper::write_all and run(), which took a batch as one thing and joined the thread without bound; Keeper::~Keeper; Store::open, which gives up at the lock and at write_again before it has read.

Change: - Store::divide: overwrites and erasures always go, new keys take the room in their order, the rest waits for a change without holding up the others. The numbers of changes are kept by key (change_queue), batches are in their order, kept() stays below what is left over, and is_durable() tells of one change. A vote is published when it and the version that it is for are durable. - DiskCalls: each call is timed and looked at by a second thread, reported when it has lasted 5 s and with its duration at its end. The end waits 5 s for the last batch and the closing, says what is given up, and leaves the thread. - open_or_read: where the store cannot be opened to write, the files are copied into memory and opened there with the whole proof; `how=read_only`. The tests' `Case` lets the end wait 30 s, so that no test rests on the new bound.

Seen to fail without it, by switching each part off in a build of this state: division (RecordBound: three of the rule, and the keeper's), the look at the call (HangingDisk.IsReportedOnce...), the bound of the end (HangingDisk.TheEnd...), the thread's silence after it (the process aborts), the reading (Store/ReadOnly 0 to 2, StoreReadOnly, KeepingHanging.WhatAReadOnly...), its lock (StoreReadOnly.AStoreThatAnother...), the version beside the vote (KeepingHanging.AVoteWhoseVersion...). With nothing switched off they pass.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -69,6 +69,10 @@
   if (running_) ::pthread_join(id_, nullptr);
   running_ = false;
 }
+void Thread::detach() {
+  if (running_) ::pthread_detach(id_);
+  running_ = false;
+}
 
 std::optional<Address> parse_address(std::string_view text) {
   const std::size_t colon = text.rfind(':');
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -37,6 +37,8 @@
   Thread& operator=(Thread&& other) noexcept;
   ~Thread() { join(); }
   void join();
+  // Leaves the thread to itself: all that its body uses must last as long as it does.
+  void detach();
 
  private:
   pthread_t id_{};
--- a/src/fleet/service/keeping.cpp
+++ b/src/fleet/service/keeping.cpp
@@ -6,6 +6,7 @@
 
 #include "base/wall_clock.h"
 #include "fleet/recovery/values.h"
+#include "store/read_only.h"
 
 namespace reeltack::fleet {
 namespace {
@@ -46,7 +47,7 @@
   where.dir = settings.store;
   where.fleet = fleet_;
   where.owner = owner_;
-  store::Opened opened = store::Store::open(where);
+  store::Opened opened = store::open_or_read(where);
   if (opened.how == store::Opened::How::refused) throw std::runtime_error(opened.why);
   read(opened.kept, wall);
   say_("store", std::string("dir=\"") + settings.store + "\" how=" + std::string(store::name(opened.how)) +
@@ -68,7 +69,7 @@
   put(Store{kIncarnationKey, std::to_string(incarnation_), std::nullopt});
   asked_ = 0;
   asked_since_.reset();
-  if (!keeper_->flush(kFirstKept) || !is_durable(change_))
+  if (!keeper_->flush(kFirstKept) || !incarnation_is_durable())
     say_("store", "durable=no incarnation=" + std::to_string(incarnation_) +
                       " text=\"used all the same; it is written as soon as the store can be\"");
 }
@@ -98,6 +99,7 @@
     vote_ = what.vote;
     vote_change_ = 0;
   }
+  if (what.key == drift::kHeldRecord) held_change_ = 0;
   if (what.key == kIncarnationKey) {
     asked_ = number_of(what.value);
     asked_since_.reset();
@@ -126,6 +128,7 @@
       if (change == 0) return;
       if (promise.vote) vote_change_ = change;
       if (own) change_ = change;
+      if (promise.key == drift::kHeldRecord) held_change_ = change;
     } else if (promise.vote) {
       vote_.reset();
       say_("store", "vote=none epoch=" + std::to_string(promise.vote->vote.epoch) +
@@ -167,12 +170,18 @@
   }
 }
 
-bool Keeping::is_durable(std::uint64_t change) const { return change != 0 && keeper_->kept() >= change; }
+bool Keeping::incarnation_is_durable() const { return keeper_->is_durable(kIncarnationKey, change_); }
+
+// A vote is worth what the version is that it is for. Records of other keys may wait for room in the store.
+bool Keeping::vote_is_durable() const {
+  const bool held = held_change_ == 0 || keeper_->is_durable(drift::kHeldRecord, held_change_);
+  return held && keeper_->is_durable(drift::kVoteRecord, vote_change_);
+}
 
 std::optional<drift::Vote> Keeping::vote_lasts() {
   if (!vote_ || !keeper_) return std::nullopt;
   hand_over();
-  if (!vote_ || !is_durable(vote_change_)) return std::nullopt;
+  if (!vote_ || !vote_is_durable()) return std::nullopt;
   return std::exchange(vote_, std::nullopt);
 }
 
@@ -182,7 +191,7 @@
   if (!keeper_) return std::exchange(asked_, 0);
   hand_over();
   if (!asked_since_) asked_since_ = now;
-  if (!is_durable(change_)) {
+  if (!incarnation_is_durable()) {
     if (now - *asked_since_ < kNotDurable) return std::nullopt;
     say_("store", "durable=no incarnation=" + std::to_string(asked_) +
                       " text=\"used all the same; it is written as soon as the store can be\"");
--- a/src/fleet/service/keeping.h
+++ b/src/fleet/service/keeping.h
@@ -54,7 +54,8 @@
   void take_late();
   void resolve(const std::vector<store::Kept>& found);
   bool stands_against(const Store& promise) const;
-  [[nodiscard]] bool is_durable(std::uint64_t change) const;
+  [[nodiscard]] bool incarnation_is_durable() const;
+  [[nodiscard]] bool vote_is_durable() const;
   const std::string fleet_;
   const std::string owner_;
   const Say say_;
@@ -73,6 +74,7 @@
   std::uint64_t change_ = 0;  // the keeper's number of what asks for it; 0: not taken yet
   std::optional<drift::Vote> vote_;
   std::uint64_t vote_change_ = 0;  // as above
+  std::uint64_t held_change_ = 0;  // of the version that the vote is for; 0 also where it is kept already
 
   std::mutex late_mutex_;
   std::optional<std::vector<store::Kept>> late_;  // what the keeper's thread has found in an unread store
--- /dev/null
+++ b/src/store/disk_calls.cpp
@@ -0,0 +1,81 @@
+// The calls to the disk: see the header.
+#include "store/disk_calls.h"
+
+namespace reeltack::store {
+
+using std::chrono::milliseconds;
+
+bool DiskCalls::make(const std::function<void()>& call) {
+  {
+    const std::lock_guard lock(mutex_);
+    call_.begin(settings_.clock());
+  }
+  call_began_.notify_all();
+  call();
+  const std::lock_guard telling(telling_);
+  std::unique_lock lock(mutex_);
+  if (given_up_) return false;
+  const auto reported = call_.end(settings_.clock());
+  lock.unlock();
+  if (reported) report(KeeperEvent::Kind::returned, *reported);
+  return true;
+}
+
+void DiskCalls::watch() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    call_began_.wait(lock, [this] { return stopping_ || call_.under_way(); });
+    lock.unlock();
+    look();
+    lock.lock();
+    watch_ends_.wait_for(lock, settings_.look_every, [this] { return stopping_; });
+  }
+}
+
+// With `telling_` held throughout, the beginning is told before the end.
+void DiskCalls::look() {
+  const std::lock_guard telling(telling_);
+  std::unique_lock lock(mutex_);
+  const auto now = settings_.clock();
+  if (!call_.hangs(now)) return;
+  const CallWatch::Span lasted = call_.lasted(now);
+  lock.unlock();
+  report(KeeperEvent::Kind::hanging, lasted);
+}
+
+void DiskCalls::stop_watching() {
+  const std::lock_guard lock(mutex_);
+  stopping_ = true;
+  call_began_.notify_all();
+  watch_ends_.notify_all();
+}
+
+bool DiskCalls::give_up() {
+  const std::lock_guard telling(telling_);
+  std::unique_lock lock(mutex_);
+  if (!call_.under_way()) return false;
+  given_up_ = true;
+  const CallWatch::Span lasted = call_.lasted(settings_.clock());
+  lock.unlock();
+  report(KeeperEvent::Kind::unended, lasted);
+  return true;
+}
+
+void DiskCalls::tell(const KeeperEvent& event) {
+  const std::lock_guard telling(telling_);
+  if (settings_.told) settings_.told(event);
+}
+
+// Called with `telling_` held.
+void DiskCalls::report(KeeperEvent::Kind kind, CallWatch::Span lasted) {
+  KeeperEvent event = make_event_(kind);
+  event.lasted = std::chrono::duration_cast<milliseconds>(lasted);
+  if (settings_.told) settings_.told(event);
+}
+
+bool DiskCalls::hanging() const {
+  const std::lock_guard lock(mutex_);
+  return call_.reported();
+}
+
+}  // namespace reeltack::store
--- a/src/store/lock.cpp
+++ b/src/store/lock.cpp
@@ -29,14 +29,14 @@
   if (fd_ >= 0) ::close(fd_);
 }
 
-Lock::Got Lock::take(const std::string& file, std::string& why) {
+Lock::Got Lock::open_and_lock(const std::string& file, int flags, std::string& why) {
   const auto failed = [&](const char* what) {
     why = std::string(what) + " " + file + ": " + std::generic_category().message(errno);
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
     return Got::failed;
   };
-  fd_ = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0640);
+  fd_ = ::open(file.c_str(), flags | O_CLOEXEC, 0640);
   if (fd_ < 0) return failed("cannot open");
   if (::flock(fd_, LOCK_EX | LOCK_NB) != 0) {
     if (errno != EWOULDBLOCK) return failed("cannot lock");
@@ -45,6 +45,15 @@
     fd_ = -1;
     return Got::disputed;
   }
+  return Got::held;
+}
+
+Lock::Got Lock::take_unwritten(const std::string& file, std::string& why) {
+  return open_and_lock(file, O_RDONLY, why);
+}
+
+Lock::Got Lock::take(const std::string& file, std::string& why) {
+  if (const Got got = open_and_lock(file, O_RDWR | O_CREAT, why); got != Got::held) return got;
   // The pid is for people; a full disk must not keep the store shut, so a failed write is let be.
   const std::string pid = std::to_string(::getpid()) + "\n";
   if (::ftruncate(fd_, 0) != 0 || ::pwrite(fd_, pid.data(), pid.size(), 0) < 0) errno = 0;
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -5,6 +5,7 @@
 
 #include "store/contents.h"
 #include "store/folder.h"
+#include "store/record_bound.h"
 
 namespace reeltack::store {
 
@@ -36,6 +37,8 @@
       return "set_aside";
     case Opened::How::refused:
       return "refused";
+    case Opened::How::read_only:
+      return "read_only";
     case Opened::How::failed:
       break;
   }
@@ -111,6 +114,12 @@
   return out;
 }
 
+Division Store::divide(std::vector<Change> changes) const {
+  const auto& sums = inside_->sums;
+  return store::divide(std::move(changes), {sums.size(), inside_->settings.most_records,
+                                            [&sums](const std::string& key) { return sums.contains(key); }});
+}
+
 Written Store::write(const std::vector<Change>& changes, clocks::WallTime written_at) {
   Inside& in = *inside_;
   if (in.damaged) return in.fail(Why::damaged, "was found damaged; open it anew");
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -50,6 +50,12 @@
   std::optional<std::string> value;
 };
 
+// A batch in two parts: what the store's bound on records lets in, and what it does not.
+struct Division {
+  std::vector<Change> fits;
+  std::vector<Change> left;
+};
+
 // A record as it was found. Whose it is and when it was written is told, not judged: the clock may have been
 // wrong, and the file may have been copied.
 struct Kept {
@@ -93,6 +99,9 @@
   // last counts.
   Written write(const std::vector<Change>& changes, clocks::WallTime written_at);
 
+  // What of a batch write() would not refuse as beyond `most_records`; see store/record_bound.h.
+  [[nodiscard]] Division divide(std::vector<Change> changes) const;
+
   [[nodiscard]] const std::string& file() const;
   [[nodiscard]] std::uint64_t generation() const;  // batches ever written to this file
 
@@ -108,10 +117,11 @@
     opened,     // `kept` is what was there
     set_aside,  // unreadable: renamed to `where`, said in `why`; the store is empty
     refused,    // another process has it: no store; `why` names the file and the pid
+    read_only,  // the machine refused to write, so no store; `kept` is what was there (store/read_only.h)
     failed,     // the machine refused: no store, nothing was renamed
   };
   How how = How::failed;
-  std::unique_ptr<Store> store;  // not for refused and failed
+  std::unique_ptr<Store> store;  // not for refused, read_only and failed
   std::vector<Kept> kept;        // in order of key
   std::size_t foreign = 0;       // how many of them name another fleet or owner
   std::string why;               // for all but fresh and opened
--- /dev/null
+++ b/src/store/writer.cpp
@@ -0,0 +1,250 @@
+// The keeper's writing thread: see the header.
+#include "store/writer.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "base/wall_clock.h"
+
+namespace reeltack::store {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kBetweenCalls{10};
+
+Written no_store(const Opened& opened) {
+  return {opened.how == Opened::How::refused ? Why::disputed : Why::io, opened.why};
+}
+
+}  // namespace
+
+Writer::Writer(StoreSettings store, Opened&& opened, KeeperSettings settings)
+    : store_settings_(std::move(store)),
+      settings_(std::move(settings)),
+      store_(std::move(opened.store)),
+      looked_(store_ != nullptr),
+      no_store_(no_store(opened)),
+      queue_(settings_.most_bytes, settings_.most_keys),
+      calls_(settings_,
+             [this](KeeperEvent::Kind kind) {
+               const std::lock_guard lock(mutex_);
+               return event(kind);
+             }),
+      report_(settings_.first_reminder, settings_.last_reminder) {}
+
+void Writer::run() {
+  milliseconds wait{0};
+  if (store_ == nullptr) {
+    wait = settings_.first_retry;
+    std::unique_lock lock(mutex_);
+    const auto news = failed(no_store_.why, no_store_.text);
+    lock.unlock();
+    tell(news);
+  }
+  for (bool last = false; !last;) {
+    last = wait_for_work(wait);
+    const Outcome outcome = attempt();
+    if (outcome == Outcome::given_up) return;
+    wait = outcome == Outcome::done ? milliseconds{0}
+                                    : std::clamp(wait * 2, settings_.first_retry, settings_.last_retry);
+  }
+  if (!calls_.make([this] { store_.reset(); })) return;
+  const std::lock_guard lock(mutex_);
+  run_ended_ = true;
+  ended_.notify_all();
+}
+
+// Whether this is the last time.
+bool Writer::wait_for_work(milliseconds wait) {
+  std::unique_lock lock(mutex_);
+  if (wait.count() > 0) {
+    work_.wait_for(lock, wait, [this] { return stopping_; });
+  } else {
+    work_.wait(lock, [this] { return stopping_ || queue_.has_new(); });
+  }
+  return stopping_;
+}
+
+Writer::Outcome Writer::attempt() {
+  if (store_ == nullptr) {
+    if (const Outcome opened = open_store(); opened != Outcome::done) return opened;
+  }
+  return write_batch();
+}
+
+Writer::Outcome Writer::open_store() {
+  Opened opened;
+  if (!calls_.make([&] { opened = Store::open(store_settings_); })) return Outcome::given_up;
+  store_ = std::move(opened.store);
+  if (store_ != nullptr) {
+    after_opening(opened);
+    return Outcome::done;
+  }
+  std::unique_lock lock(mutex_);
+  const auto news = failed(no_store(opened).why, opened.why);
+  lock.unlock();
+  tell(news);
+  return Outcome::failed;
+}
+
+void Writer::after_opening(const Opened& opened) {
+  io_failures_ = 0;
+  if (!looked_ && settings_.found) settings_.found(opened.kept);
+  looked_ = true;
+  std::unique_lock lock(mutex_);
+  queue_.restore(opened.kept, store_settings_.fleet, store_settings_.owner);
+  const bool news = opened.how != Opened::How::opened || !opening_told_;
+  opening_told_ = true;
+  if (!news) return;
+  KeeperEvent event = this->event(KeeperEvent::Kind::opened);
+  lock.unlock();
+  event.how = opened.how;
+  event.text = opened.why;
+  event.aside = opened.where;
+  tell(event);
+}
+
+Writer::Outcome Writer::write_batch() {
+  std::unique_lock lock(mutex_);
+  std::vector<Change> batch = queue_.take_batch();
+  lock.unlock();
+  if (batch.empty()) return Outcome::done;
+  Division parts = store_->divide(std::move(batch));
+  Written written;
+  const bool returned = calls_.make([&] {
+    if (!parts.fits.empty()) written = store_->write(parts.fits, base::wall_now());
+    io_failures_ = written.why == Why::io ? io_failures_ + 1 : 0;
+    if (written.why == Why::damaged || io_failures_ >= kReopenAfter) store_.reset();
+  });
+  if (!returned) return Outcome::given_up;
+  return after_writing(written, std::move(parts));
+}
+
+// What is left over by the store's bound waits for another change, not for a time: only an erasure makes
+// room.
+Writer::Outcome Writer::after_writing(const Written& written, Division&& parts) {
+  std::optional<KeeperEvent> news;
+  std::unique_lock lock(mutex_);
+  if (!written.ok()) {
+    if (written.why == Why::damaged) queue_.lose();
+    std::move(parts.left.begin(), parts.left.end(), std::back_inserter(parts.fits));
+    queue_.settle(std::move(parts.fits));
+    news = failed(written.why, written.text);
+  } else {
+    if (!parts.fits.empty()) ++counts_.batches;
+    counts_.written += parts.fits.size();
+    const bool all = parts.left.empty();
+    queue_.settle(std::move(parts.left));
+    news = all ? recovered() : failed(Why::full, over_bound());
+  }
+  lock.unlock();
+  done_.notify_all();
+  tell(news);
+  return written.ok() ? Outcome::done : Outcome::failed;
+}
+
+std::string Writer::over_bound() const {
+  return store_->file() + ": over its bound of " + std::to_string(store_settings_.most_records) + " records";
+}
+
+// Called with the lock held. What is to be told of this failure, if anything.
+std::optional<KeeperEvent> Writer::failed(Why why, const std::string& text) {
+  ++counts_.failures;
+  counts_.failing = true;
+  const auto kind = report_.failed(why, settings_.clock());
+  if (!kind) return std::nullopt;
+  KeeperEvent out = event(*kind);
+  out.why = why;
+  out.text = text;
+  return out;
+}
+
+// Called with the lock held: all that was taken out of the queue is durable.
+std::optional<KeeperEvent> Writer::recovered() {
+  std::optional<KeeperEvent> news;
+  if (report_.on()) news = event(KeeperEvent::Kind::written);
+  counts_.failing = false;
+  opening_told_ = false;
+  report_.ended();
+  return news;
+}
+
+void Writer::tell(const std::optional<KeeperEvent>& event) {
+  if (event) calls_.tell(*event);
+}
+
+// Called with the lock held.
+KeeperEvent Writer::event(KeeperEvent::Kind kind) const {
+  KeeperEvent out = report_.event(kind, settings_.clock());
+  out.waiting = queue_.waiting();
+  return out;
+}
+
+bool Writer::stop() {
+  calls_.stop_watching();
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  work_.notify_all();
+  if (ended_.wait_for(lock, settings_.end_within, [this] { return run_ended_; })) return true;
+  // Between two calls it is soon in the next one, or through.
+  while (!run_ended_) {
+    lock.unlock();
+    if (calls_.give_up()) return false;
+    lock.lock();
+    ended_.wait_for(lock, kBetweenCalls, [this] { return run_ended_; });
+  }
+  return true;
+}
+
+void Writer::forget_owner() {
+  settings_.told = nullptr;
+  settings_.found = nullptr;
+  settings_.clock = nullptr;
+}
+
+std::uint64_t Writer::put(const std::string& key, std::optional<std::string> value) {
+  std::uint64_t number = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    number = queue_.put(key, std::move(value));
+  }
+  if (number != 0) work_.notify_one();
+  return number;
+}
+
+void Writer::remember(const std::string& key, std::string value) {
+  const std::lock_guard lock(mutex_);
+  queue_.remember(key, std::move(value));
+}
+
+std::uint64_t Writer::kept() const {
+  const std::lock_guard lock(mutex_);
+  return queue_.kept();
+}
+
+bool Writer::is_durable(const std::string& key, std::uint64_t number) const {
+  const std::lock_guard lock(mutex_);
+  return queue_.is_durable(key, number);
+}
+
+bool Writer::flush(milliseconds within) {
+  std::unique_lock lock(mutex_);
+  const std::uint64_t number = queue_.last_number();
+  return done_.wait_for(lock, within, [&] { return queue_.kept() >= number; });
+}
+
+KeeperCounts Writer::counts() const {
+  const std::lock_guard lock(mutex_);
+  const QueueCounts& queue = queue_.counts();
+  KeeperCounts out = counts_;
+  out.taken = queue.taken;
+  out.coalesced = queue.coalesced;
+  out.refused = queue.refused;
+  out.waiting = queue_.waiting();
+  out.failing = counts_.failing || calls_.hanging();
+  return out;
+}
+
+}  // namespace reeltack::store
--- a/tests/store/heard.h
+++ b/tests/store/heard.h
@@ -62,6 +62,7 @@
     store.vfs = FaultyVfs::name;
     keeper.first_retry = std::chrono::milliseconds(1);
     keeper.last_retry = std::chrono::milliseconds(8);
+    keeper.end_within = kLong;
     keeper.told = [this](const KeeperEvent& e) { heard(e); };
   }
   KeeperEvent expect(KeeperEvent::Kind kind) {
--- /dev/null
+++ b/tests/store/read_only_test.cpp
@@ -0,0 +1,147 @@
+// A store on a disk that can be read and not be written: what it holds is read and proven, no file changes,
+// and writes resume when the disk can be written again.
+#include "store/read_only.h"
+
+#include <sys/wait.h>
+
+#include <atomic>
+#include <cerrno>
+
+#include "heard.h"
+
+namespace reeltack::store {
+namespace {
+
+using Kind = KeeperEvent::Kind;
+
+const State kHeld{{"members", "n0,n1"}, {"vote", "7"}};
+
+// Refuses what would change a file, by the errno that the machine gives for it.
+struct ReadOnlyDisk : Faults {
+  ReadOnlyDisk(FaultyVfs& vfs, int error, bool lock_too) : error_(error), lock_too_(lock_too) {
+    vfs.hook = [this](const FileStep& step) {
+      const bool changes = step.what != "open" && step.what != "read";
+      return read_only && changes && step.before ? SQLITE_IOERR_WRITE : SQLITE_OK;
+    };
+  }
+  int at(std::string_view step, bool before) override {
+    return read_only && before && lock_too_ && step == "lock" ? error_ : 0;
+  }
+  std::atomic<bool> read_only{false};
+
+ private:
+  const int error_;
+  const bool lock_too_;
+};
+
+// Leaves a store of an earlier life, its last batch in the log as after a kill.
+void leave_store(const StoreSettings& where) {
+  StoreSettings killed = where;
+  killed.dir = where.dir + ".running";
+  killed.vfs.clear();
+  killed.faults = nullptr;
+  Opened opened = Store::open(killed);
+  ASSERT_TRUE(opened.store->write({{"members", "n0"}, {"vote", "7"}}, WallTime{}).ok());
+  ASSERT_TRUE(opened.store->write({{"members", "n0,n1"}}, WallTime{}).ok());
+  copy_folder(killed.dir, where.dir);
+  ASSERT_GT(fs::file_size(where.dir + "/store.db-wal"), 0u);
+}
+
+struct Refusal {
+  int error = 0;  // errno
+  bool lock_too = false;
+};
+class ReadOnly : public testing::TestWithParam<Refusal> {};
+
+TEST_P(ReadOnly, IsReadAtTheStartAndWritesResumeByThemselves) {
+  Case c;
+  ReadOnlyDisk disk(c.vfs, GetParam().error, GetParam().lock_too);
+  c.store.faults = &disk;
+  leave_store(c.store);
+  const std::string file = slurp(c.store.dir + "/store.db"), log = slurp(c.store.dir + "/store.db-wal");
+  disk.read_only = true;
+  Opened opened = open_or_read(c.store);
+  EXPECT_EQ(opened.how, How::read_only) << opened.why;
+  EXPECT_EQ(opened.store, nullptr);
+  EXPECT_EQ(state_of(opened), kHeld);
+  EXPECT_EQ(opened.foreign, 0u);
+  EXPECT_FALSE(opened.why.empty());
+  EXPECT_EQ(slurp(c.store.dir + "/store.db"), file);
+  EXPECT_EQ(slurp(c.store.dir + "/store.db-wal"), log);
+
+  State found;
+  c.keeper.found = [&](const std::vector<Kept>& records) {
+    for (const Kept& record : records) found[record.key] = record.value;
+  };
+  {
+    Keeper keeper(c.store, std::move(opened), c.keeper);
+    const std::uint64_t number = keeper.put("vote", "8");
+    EXPECT_EQ(c.expect(Kind::failed).why, Why::io);
+    EXPECT_FALSE(keeper.is_durable("vote", number));
+    disk.read_only = false;
+    EXPECT_TRUE(keeper.flush(kLong)) << c.heard.text();
+    EXPECT_EQ(c.expect(Kind::opened).how, How::opened);
+  }
+  EXPECT_EQ(found, kHeld);
+  EXPECT_EQ(state_of(Store::open(c.store)), (State{{"members", "n0,n1"}, {"vote", "8"}}));
+}
+INSTANTIATE_TEST_SUITE_P(Store, ReadOnly,
+                         testing::Values(Refusal{EROFS, true}, Refusal{EACCES, true}, Refusal{EROFS, false}));
+
+TEST(StoreReadOnly, AStoreThatAnotherProcessIsWritingIsNotRead) {
+  Case c;
+  ReadOnlyDisk disk(c.vfs, EACCES, true);
+  Opened running = Store::open(c.store);
+  ASSERT_TRUE(running.store->write({{"a", "1"}}, WallTime{}).ok());
+  c.store.faults = &disk;
+  disk.read_only = true;
+  const Opened opened = open_or_read(c.store);
+  EXPECT_EQ(opened.how, How::failed);
+  EXPECT_TRUE(opened.kept.empty());
+  EXPECT_NE(opened.why.find("is locked"), std::string::npos) << opened.why;
+  disk.read_only = false;
+}
+
+TEST(StoreReadOnly, WhatCannotBeProvenOrIsNotThereIsNotRead) {
+  Case c;
+  ReadOnlyDisk disk(c.vfs, EROFS, true);
+  c.store.faults = &disk;
+  leave_store(c.store);
+  disk.read_only = true;
+  const std::string whole = slurp(c.store.dir + "/store.db");
+  const std::string log = slurp(c.store.dir + "/store.db-wal");
+  fs::remove(c.store.dir + "/store.db-wal");
+  for (const std::string& bytes : {std::string(8192, 'x'), whole.substr(0, 100), std::string()}) {
+    spit(c.store.dir + "/store.db", bytes);
+    const Opened opened = open_or_read(c.store);
+    EXPECT_EQ(opened.how, How::failed) << bytes.size();
+    EXPECT_TRUE(opened.kept.empty());
+    EXPECT_EQ(slurp(c.store.dir + "/store.db"), bytes);
+  }
+  spit(c.store.dir + "/store.db-wal", log);  // without its file
+  fs::remove(c.store.dir + "/store.db");
+  EXPECT_EQ(open_or_read(c.store).how, How::failed);
+}
+
+// No injection: the permissions of files and folder.
+TEST(StoreReadOnly, FilesAndAFolderWithoutPermissionToWriteAreRead) {
+  const TempDir temp;
+  leave_store(settings(temp / "s"));
+  fs::permissions(temp / "", fs::perms{0755});
+  for (const char* name : {"s/store.db", "s/store.db-wal", "s/store.lock"})
+    fs::permissions(temp / name, fs::perms{0444});
+  fs::permissions(temp / "s", fs::perms{0555});
+  const ::pid_t child = ::fork();
+  if (child == 0) {
+    if (::getuid() == 0 && (::setgid(65534) != 0 || ::setuid(65534) != 0)) ::_exit(2);
+    const Opened opened = open_or_read(settings(temp / "s"));
+    ::_exit(opened.how == How::read_only && !opened.store && state_of(opened) == kHeld ? 0 : 1);
+  }
+  int status = 0;
+  ASSERT_EQ(::waitpid(child, &status, 0), child);
+  EXPECT_EQ(status, 0);
+  fs::permissions(temp / "s", fs::perms{0755});
+}
+
+}  // namespace
+}  // namespace reeltack::store
