Count no silence of an endpoint while this host can't dial it

Observed: with no descriptor for a second connection while calls stand at a quiet endpoint, the first dial that could be made again and failed ended these calls, although until then nobody had been asked. Where the connection had ended, the want itself used up the verdict of a loss without telling anybody: a process that died meanwhile was never found dead, and its calls never ended.

Ruled out: the classification of errno (a shortage is told apart from a failure in net.cpp), and the dials themselves (10 ms apart).

To blame: Reach::asked and Reach::failed counted the silence from the last word alone; OfficeLink::no_room told a want as a failed dial and dropped the answer.

Change: Reach::no_room notes the want. A silence is a loss 5.5 s after the last word, and not before 3 s (the usual time of asking) after the last dial for which there was no room.

Measured: QuietEndpoint.CallsThatStandOutlastAWantOfDescriptors, QuietEndpoint.DeathInAWantOfDescriptorsShowsAfterIt and Reach.WantOfRoomOnThisHostIsNoEvidenceOfSilence were seen to fail with the change taken out, and pass with it, as do Silence (1 test) and all of Reach and Shutdown (16 tests).

--- a/src/membership/reach.cpp
+++ b/src/membership/reach.cpp
@@ -20,16 +20,20 @@
   // Another process may take over the address: no dialling for nothing until this one is told as started.
   dead_ = dead_ || died;
   // The connection has ended and no new one comes up: the same silence as that of an open one.
-  const bool lost = how == Dialled::failed && was_up_ && calls_stand_ && at >= heard_ + settings_.lost;
+  const bool lost = how == Dialled::failed && was_up_ && calls_stand_ && at >= lost_at();
   if (died || lost) was_up_ = false;
   retry_at_ = at + settings_.look;
   return died || lost;
 }
 
+void Reach::no_room(Time at) {
+  no_room_at_ = at;
+  retry_at_ = at + settings_.look;
+}
+
 Time Reach::dial_by(Time at, Duration limit) const {
-  const Time lost_at = heard_ + settings_.lost;
-  const bool awaited = calls_stand_ && was_up_ && at < lost_at;
-  return awaited ? std::min(at + limit, lost_at) : at + limit;
+  const bool awaited = calls_stand_ && was_up_ && at < lost_at();
+  return awaited ? std::min(at + limit, lost_at()) : at + limit;
 }
 
 void Reach::up(Time at) {
@@ -58,7 +62,7 @@
   asked_ = at;
   if (how == Dialled::up) return Asked::replaced;
   if (how == Dialled::refused) return Asked::drop;
-  if (at < heard_ + settings_.lost) return Asked::wait;
+  if (at < lost_at()) return Asked::wait;
   was_up_ = false;
   dead_ = true;
   return Asked::lost;
--- a/src/membership/reach.h
+++ b/src/membership/reach.h
@@ -7,6 +7,7 @@
 // equal outputs. Nothing allocates.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "reeltack/controller.h"
@@ -34,6 +35,9 @@
   // What was dialled without a connection: true where calls that stand there are over, for the process has
   // died, or nothing was heard and nothing came up for too long.
   bool failed(Dialled how, Time at);
+  // This host had no room to dial it: nothing is known of the office, and its silence is no evidence either
+  // until it could be dialled for as long as usual.
+  void no_room(Time at);
   void up(Time at);
   void ended(Time at);  // the connection
   void heard(Time at);  // a word on it
@@ -54,11 +58,16 @@
   [[nodiscard]] Time ask_at() const;  // of an open connection; Time::max(): it may stay quiet
 
  private:
+  // From when silence without a new connection counts as a loss.
+  [[nodiscard]] Time lost_at() const {
+    return std::max(heard_ + settings_.lost, no_room_at_ + (settings_.lost - settings_.quiet));
+  }
   ReachSettings settings_;
   std::optional<StartId> start_;
   Time retry_at_{};
   Time heard_{};
   Time asked_{};
+  Time no_room_at_{};          // the last time that this host had no room for a connection
   std::optional<Time> waits_;  // since when a set-up that left has heard nothing
   bool ready_ = false;
   bool gone_ = false;  // for good
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -32,9 +32,9 @@
 void OfficeLink::no_room() {
   const Time at = net::now();
   room_at_ = at + kRoomAwaited;
+  reach_.no_room(at);
   if (open_.empty()) {
     room_by_ = net::kNever;
-    reach_.failed(membership::Reach::Dialled::failed, at);
     return;
   }
   if (room_by_ == net::kNever) room_by_ = at + dial_limit_;
@@ -129,6 +129,7 @@
     asking_ = net::dial_begin(address_, how);
     if (how == net::Dial::shortage) {  // no evidence of its silence
       room_at_ = at + kRoomAwaited;
+      reach_.no_room(at);
       return;
     }
     dialled_ = address_;
--- a/tests/membership/reach_test.cpp
+++ b/tests/membership/reach_test.cpp
@@ -119,6 +119,33 @@
   r.keep(false);
   EXPECT_EQ(r.dial_by(at(2500ms), 60s), at(62500ms));
 }
+// Our own want of descriptors hides whether the office is there: only dials that could be made show it.
+TEST(Reach, WantOfRoomOnThisHostIsNoEvidenceOfSilence) {
+  Reach open = up_at_start(true);
+  open.no_room(at(6s));
+  EXPECT_EQ(open.asked(Dialled::failed, at(9s - 1ns)), Asked::wait);
+  EXPECT_EQ(open.asked(Dialled::failed, at(9s)), Asked::lost);
+  Reach ended = up_at_start(true);
+  ended.ended(at(1s));
+  ended.no_room(at(6s));
+  EXPECT_EQ(ended.dial_by(at(6s), 60s), at(9s));
+  EXPECT_FALSE(ended.failed(Dialled::failed, at(9s - 1ns)));
+  EXPECT_TRUE(ended.failed(Dialled::failed, at(9s)));
+}
+TEST(Reach, WantOfRoomThatIsOverBeforeTheSilenceChangesNothing) {
+  Reach r = up_at_start(true);
+  r.no_room(at(1s));
+  EXPECT_EQ(r.asked(Dialled::failed, at(5500ms - 1ns)), Asked::wait);
+  EXPECT_EQ(r.asked(Dialled::failed, at(5500ms)), Asked::lost);
+}
+// A process that died meanwhile is found dead: the want did not make its calls be forgotten.
+TEST(Reach, RefusalAfterWantOfRoomIsADeath) {
+  Reach r = up_at_start(true);
+  r.ended(at(1s));
+  for (Duration d = 1s; d <= 7s; d += 10ms) r.no_room(at(d));
+  EXPECT_TRUE(r.failed(Dialled::refused, at(7s)));
+}
+
 TEST(Reach, GoneIsForGood) {
   Reach r = up_at_start(true);
   EXPECT_TRUE(r.told(entry(ServerState::gone)));
--- a/tests/system_calls/peers.h
+++ b/tests/system_calls/peers.h
@@ -30,6 +30,10 @@
   FakeEndpoint(const net::Address& at, bool fills)
       : address(at), listener_(net::listen_on(at)), fills_(fills) {}
   void step();
+  void die() {  // its connections end, and new ones are refused
+    wires_.clear();
+    listener_.reset();
+  }
   void release(std::uint64_t call);  // on an open connection, and once more on the next
   std::map<std::uint64_t, int> starts;
   std::map<std::uint64_t, int> refused;   // of these, answered as full
--- a/tests/system_calls/silence_test.cpp
+++ b/tests/system_calls/silence_test.cpp
@@ -3,11 +3,13 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <future>
 
 #include "platform/link.h"
+#include "system_calls/exchange.h"
 #include "system_calls/faults.h"
 
 namespace reeltack::test {
@@ -82,5 +84,60 @@
   core.stop();
 }
 
+// A client with a call that stands at an endpoint which then has nothing more to say.
+class QuietEndpoint : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    exchange_.start();
+    exchange_.list();
+    ASSERT_TRUE(exchange_.until([this] { return exchange_.core->ready(); }));
+    exchange_.invite("a", kCall, FakeEndpoint::kAnswers);
+    ASSERT_TRUE(exchange_.await_final(kCall));
+    ASSERT_EQ(exchange_.client->calls[kCall].finals, std::vector{200});
+  }
+  FakeEndpoint& endpoint() {
+    return *std::find_if(exchange_.endpoints.begin(), exchange_.endpoints.end(),
+                         [](const FakeEndpoint& e) { return e.starts.contains(kCall); });
+  }
+  void await_failures(std::uint64_t count) {
+    while (faults::failed() < count) {
+      const std::uint64_t before = faults::failed();
+      ASSERT_TRUE(exchange_.until([before] { return faults::failed() > before; }));
+    }
+  }
+  [[nodiscard]] int released() { return exchange_.client->calls[kCall].byes; }
+
+  static constexpr std::uint64_t kCall = 1;
+  const faults::TestThread exempt_;
+  Exchange exchange_;
+};
+
+// A call stands at an endpoint that has nothing to say, and that can't be asked for want of descriptors: the
+// call goes on standing, and its release is passed on.
+TEST_F(QuietEndpoint, CallsThatStandOutlastAWantOfDescriptors) {
+  // It is asked for after a silence, and tried each 10 ms without room until it could count as lost. The dial
+  // after these fails, as a single one may.
+  constexpr std::uint64_t kWithoutRoom = (kLost - membership::ReachSettings{}.quiet) / 10ms + 50;
+  faults::arm({.call = Call::socket, .error = EMFILE, .repeat = kWithoutRoom, .after = ENOTSUP});
+  await_failures(kWithoutRoom + 1);
+  ASSERT_TRUE(exchange_.until([] { return faults::visited(Call::socket) > kWithoutRoom + 1; }));
+  faults::disarm();
+  EXPECT_EQ(released(), 0);
+  EXPECT_EQ(exchange_.blamed(), 0);
+  endpoint().release(kCall);
+  EXPECT_TRUE(exchange_.until([this] { return released() > 0; }));
+}
+
+// The want hides that the process has died; its calls are cut once that shows.
+TEST_F(QuietEndpoint, DeathInAWantOfDescriptorsShowsAfterIt) {
+  constexpr std::uint64_t kWithoutRoom = kLost / membership::ReachSettings{}.look + 4;
+  faults::arm({.call = Call::socket, .error = EMFILE, .repeat = kWithoutRoom});
+  endpoint().die();
+  await_failures(kWithoutRoom);
+  EXPECT_EQ(released(), 0);
+  EXPECT_TRUE(exchange_.until([this] { return released() > 0; }));
+  faults::disarm();
+}
+
 }  // namespace
 }  // namespace reeltack::test
