Close on callers that send without a pause as the program ends

Observed: after SIGTERM a connection is closed once no set-up is open on it and nothing lies unread. A caller that always has bytes under way never leaves such a moment, so that the program went on reading and answering until the kill.

Ruled out: the instants of the end (they come in time), and the refusing of what is open (each request was answered).

To blame: Peer::may_close asks that nothing is unread at any closing, and Door::close_now has no last one.

Change: Peer::close_by, from the time of refusing on: what the kernel holds is read once more within a bound, what was read is answered, our side is closed, and the far end's last bytes are dropped until it closes too, or 0.15 s after the time of refusing. What is dropped crossed our close. A caller that leaves its answers unread does not hold it either.

--- a/src/limits/shutdown.cpp
+++ b/src/limits/shutdown.cpp
@@ -16,13 +16,18 @@
 // waits is refused, for a call that SIGKILL finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
 constexpr Duration kBeforeKilled = 350ms;
+// Of the rest of these 0.7 s, what the far ends may take to close in turn; the end of the program needs some.
+constexpr Duration kFarEndsClose = 150ms;
 
 }  // namespace
 
 ShutdownTimes shutdown_times(Time asked, Duration longest_deadline) {
   const Duration counted = std::min(longest_deadline, kLongestCounted);
   const Time refuse_rest = asked + std::max(counted + kBeforeKilled, kLeastTaking);
-  return {.close_idle = std::min(asked + kStillTaking, refuse_rest), .refuse_rest = refuse_rest};
+  const Time connections_over = asked + counted + kBeforeKilled + kFarEndsClose;
+  return {.close_idle = std::min(asked + kStillTaking, refuse_rest),
+          .refuse_rest = refuse_rest,
+          .connections_over = std::max(refuse_rest, connections_over)};
 }
 
 }  // namespace reeltack::limits
--- a/src/limits/shutdown.h
+++ b/src/limits/shutdown.h
@@ -13,6 +13,8 @@
 struct ShutdownTimes {
   Time close_idle;   // from then on connections are ended as soon as no set-up is open on them
   Time refuse_rest;  // from then on whatever is open is refused; not before close_idle
+  // By then connections are over on which bytes go on coming after their last answer; not before refuse_rest.
+  Time connections_over;
 };
 
 // `asked`: when the program was told to end. `longest_deadline`: of the classes in the settings.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -98,7 +98,7 @@
     }
     if (at >= times.refuse_rest) {
       core.refuse_all();
-      sip.close_now();
+      sip.close_by(times.connections_over);
     }
     net::pause_until(at + 10ms);
   }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -68,6 +68,11 @@
   stop_accepting();
   close_peers(true);
 }
+void Door::close_by(Time over_by) {
+  stop_accepting();
+  const std::lock_guard hold(lock_);
+  for (const auto& [key, p] : peers_) p->close_by(over_by);
+}
 void Door::close_peers(bool now) {
   const std::lock_guard hold(lock_);
   for (const auto& [key, p] : peers_) p->close(now);
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -30,6 +30,7 @@
   void stop_accepting();        // whoever the kernel has let in already is taken in first
   void close_idle();            // stops accepting; ends each connection once it may be ended (Peer::close)
   void close_now();             // the same, not waiting for messages that have begun
+  void close_by(Time over_by);  // the same, not waiting for senders to pause either (Peer::close_by)
   [[nodiscard]] bool closed();  // no connection is left
   void close_all();             // close_now, waited for, and the end of the thread
   // Connections let in, and those ended at a limit: a message not whole in time, answers left unread, room
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -42,6 +42,7 @@
   if (stage_ == Stage::answering) answer_open();
   if (stage_ == Stage::writing) finish_writing(outbox_.flush(fd_));
   if (stage_ == Stage::draining) drain();
+  if ((stage_ == Stage::writing || stage_ == Stage::draining) && now() >= over_by()) end();
   if (stage_ != Stage::over) arm();
 }
 
@@ -69,6 +70,7 @@
 void Peer::keep_to_limits() {
   const Time at = now();
   patience_.crowded(outbox_.crowded(), at);
+  if (closing_ == Closing::whatever_comes) return stop_reading();
   if (may_close()) return abandon_open(End::own);
   auto overdue = patience_.overdue(at);
   // What came in time may lie unread where the processor is short: then its peer is neither late nor silent.
@@ -112,6 +114,7 @@
   if (stage_ == Stage::reading) at = std::min(at, patience_.next());
   if (stage_ == Stage::reading && !reads) at = std::min(at, now() + kLookForClose);
   if (stage_ == Stage::draining) at = std::min(at, drained_by_);
+  if (stage_ == Stage::writing || stage_ == Stage::draining) at = std::min(at, over_by());
   loop_->due(id_, at);
 }
 
@@ -174,6 +177,11 @@
   closing_ = now ? Closing::now : Closing::when_idle;
   loop_->wake(id_);
 }
+void Peer::close_by(Time over_by) {
+  over_by_ = over_by.time_since_epoch().count();
+  closing_ = Closing::whatever_comes;
+  loop_->wake(id_);
+}
 void Peer::whole() { patience_.whole(now()); }
 Peer::Next Peer::hang_up() {
   drains_ = true;
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -5,8 +5,8 @@
 // limit.
 //
 // Threads: what the front overrides runs on the loop's thread; push, cut, opened, stood, closed, spare,
-// retire and close may be called from any. Times are absolute. A peer lives as long as anybody holds it, and
-// is over (over()) once its connection has ended.
+// retire, close and close_by may be called from any. Times are absolute. A peer lives as long as anybody
+// holds it, and is over (over()) once its connection has ended.
 #pragma once
 
 #include <atomic>
@@ -56,6 +56,10 @@
   // and answered, for a close under an open set-up would lose what crosses it. A message that has begun is
   // waited for in its time, or not where it is to be `now`.
   void close(bool now);
+  // Ends it whether or not its far end goes on sending: what has come is read once more, and nothing after
+  // that. What is open gets its answers, our side is closed, and the far end's last bytes are dropped until
+  // it has closed too, or `over_by`. What is still open then is waited for all the same.
+  void close_by(Time over_by);
   [[nodiscard]] bool retiring() const { return retiring_; }
   // It is not ending, by either side, as far as the kernel knows: what is pushed now can still be read.
   [[nodiscard]] bool listens() const { return !retiring_ && !answering_ && reachable(); }
@@ -103,6 +107,7 @@
   void end();
   void arm();
   void keep_to_limits();
+  void stop_reading();
   [[nodiscard]] End broken() const;       // why, where it could not be read or written
   [[nodiscard]] Spare spare_now() const;  // with the lock held
 
@@ -129,8 +134,10 @@
   std::atomic<bool> retiring_{false};
   std::atomic<bool> answering_{
       false};  // set before open_ is looked at, so that its last answer wakes the loop
-  enum class Closing { no, when_idle, now };
+  enum class Closing { no, when_idle, now, whatever_comes };
   std::atomic<Closing> closing_{Closing::no};
+  std::atomic<Time::rep> over_by_{kNever.time_since_epoch().count()};  // of close_by()
+  [[nodiscard]] Time over_by() const { return Time{Duration{over_by_.load()}}; }
   std::atomic<bool> over_{false};
   std::atomic<bool> cut_{false};
 };
--- a/src/net/peer_ending.cpp
+++ b/src/net/peer_ending.cpp
@@ -10,6 +10,8 @@
 
 // What a peer still sends after its last answer is read and dropped within these bounds.
 constexpr Duration kDrain = std::chrono::seconds(1);
+// Reads of some KB each before a connection is closed whose far end may never pause.
+constexpr int kMostLastReads = 32;
 constexpr std::size_t kMostDrained = std::size_t{64} * 1024 * 1024;
 
 }  // namespace
@@ -22,6 +24,17 @@
   if (why == End::peer) tell_left();
 }
 
+// The far end may never pause. What it has sent in time is in the kernel, and is read within a bound; what
+// comes later crosses our close, and is sent again by its sender.
+void Peer::stop_reading() {
+  for (int reads = 0; reads < kMostLastReads && !outbox_.crowded() && fd_.unread(); ++reads) {
+    read();
+    if (stage_ != Stage::reading) return;
+  }
+  drains_ = true;
+  end_reading(End::own);
+}
+
 // Nothing more is taken in; the connection ends with the last answer that is owed on it.
 void Peer::answer_open() {
   bool open = false;
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -21,9 +21,9 @@
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
-  // The end: each connection once no set-up is open on it, then those in the middle of a message as well.
+  // The end: each connection once no set-up is open on it, then those on which bytes go on coming as well.
   void close_idle() { door_.close_idle(); }
-  void close_now() { door_.close_now(); }
+  void close_by(Time over_by) { door_.close_by(over_by); }
   [[nodiscard]] bool closed() { return door_.closed(); }
   [[nodiscard]] const net::Door::Counts& connections() const { return door_.counts(); }
   void close_all() { door_.close_all(); }  // waits until every connection has ended
--- a/tests/crossings/connection.h
+++ b/tests/crossings/connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <set>
 
 #include "net/peer.h"
@@ -16,9 +17,11 @@
   int lines = 0;
   std::atomic<int> lefts{0};
   std::set<CallId> open_at_leaving;
+  std::function<void()> before_it_takes;  // what has just been read
 
  protected:
   Next received() override {
+    if (before_it_takes) before_it_takes();
     for (;;) {
       const std::size_t end = buffer_.view().find('\n');
       if (end == std::string_view::npos) return Next::more;
--- a/tests/limits/shutdown_test.cpp
+++ b/tests/limits/shutdown_test.cpp
@@ -22,6 +22,8 @@
     EXPECT_GT(times.close_idle, kAsked + kLastRequest);
     EXPECT_GE(times.refuse_rest, times.close_idle);
     EXPECT_LT(times.refuse_rest, killed);
+    EXPECT_GE(times.connections_over, times.refuse_rest);
+    EXPECT_LT(times.connections_over, killed);
   }
 }
 
@@ -29,6 +31,7 @@
   const limits::ShutdownTimes times = limits::shutdown_times(kAsked, 9s);
   EXPECT_EQ(times.close_idle, kAsked + 1500ms);
   EXPECT_EQ(times.refuse_rest, kAsked + 3350ms);
+  EXPECT_EQ(times.connections_over, kAsked + 3500ms);
 }
 
 }  // namespace
