Read a connection that collects releases though it makes too many

Observed, by forcing it: two connections to an endpoint that were left are kept, a third one collects what may be lost on them. The oldest gave way, and another was opened at once to collect for it; this made the next give way, and the one after that the collecting connection itself, unread with the release that the endpoint had just been asked for.

Ruled out: a replacement as the third (its own coming up collects).

To blame: OfficeLink::leave, which let the oldest of all go and set the collecting to now.

Change: OfficeLink::evict lets the oldest go that does not collect, and collects for it after the usual second.

--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -86,6 +86,7 @@
   // The line that was in use, or one that came up beside it.
   enum class Leaves { used, beside };
   void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
+  void evict(Time at);
   void let_go();  // of all that is being left
   void read_leaving();
   enum class RestRead { more, ended, spoilt };
--- a/src/platform/link_leaving.cpp
+++ b/src/platform/link_leaving.cpp
@@ -21,17 +21,27 @@
 void OfficeLink::leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which) {
   loop_.unwatch(line->fd);  // watched for other things from now on
   line->fd.shut_write();
-  if (leaving_.size() >= kMostLeaving) {
-    loop_.unwatch(leaving_.front().line->fd);
-    if (leaving_.front().collect_at != net::kNever) collect_once_at_ = Time{};
-    leaving_.erase(leaving_.begin());
-  }
   const Time at = net::now();
+  if (leaving_.size() >= kMostLeaving) evict(at);
   const bool used = which == Leaves::used;
   leaving_.push_back({std::move(line), std::move(buffer), at, at + (used ? kRest : kCollect),
                       used ? at + kCollect : net::kNever});
 }
 
+// One that collects is read in its time: an office may say there, and nowhere else, what it owes. The oldest
+// of the others goes, and is collected for again once that has been read.
+void OfficeLink::evict(Time at) {
+  auto oldest = std::find_if(leaving_.begin(), leaving_.end(),
+                             [](const Leaving& left) { return left.collect_at != net::kNever; });
+  if (oldest == leaving_.end()) {
+    oldest = leaving_.begin();
+  } else {
+    collect_once_at_ = std::min(collect_once_at_, at + kCollect);
+  }
+  loop_.unwatch(oldest->line->fd);
+  leaving_.erase(oldest);
+}
+
 void OfficeLink::let_go() {
   for (const Leaving& left : leaving_) loop_.unwatch(left.line->fd);
   leaving_.clear();
--- a/tests/crossings/endpoint_connections_test.cpp
+++ b/tests/crossings/endpoint_connections_test.cpp
@@ -136,6 +136,23 @@
   EXPECT_EQ(lines_until_now(endpoint, connection), Lines{});
 }
 
+// The endpoint has closed its connection, which we have not seen, and is told as draining: the set-up is in
+// no queue any more and has not left. It goes to another, also where an attempt that may have run is final.
+TEST_F(EndpointConnections, DrainAfterAnUnseenCloseReturnsTheSetUpAsNotSent) {
+  FakeEndpoint& first = add(1);
+  net::Fd idle = connected(first);
+  idle.reset();
+  first.held = true;  // we have not looked
+  request(kCall, 9s, kOnce);
+  ASSERT_TRUE(links_.await_start(first.id, kCall));
+  FakeEndpoint& second = add(2);
+  const net::Fd other = connected(second);
+  tell(first, ServerState::draining);
+  first.held = false;
+  EXPECT_TRUE(is(line(other), "START", kCall));
+  EXPECT_EQ(callers_.events(kCall), Lines{});
+}
+
 // Removed and added again at the same address as a new start: nothing that was meant for the old process goes
 // to the new one, on either connection.
 TEST_F(EndpointConnections, NewStartAtTheSameAddressGetsNothingOfTheOldProcess) {
