Take releases that come as the program ends

Observed: after SIGTERM callers were closed first and then, both ways at once, the endpoints. A release that an endpoint had written in the last moments was lost with its connection, or found no caller left; a caller's that crossed our close was reset unread.

Ruled out: reading once more what the kernel holds before a close both ways (what comes between the two is lost still), and waiting for the endpoints alone (nobody would be left to tell).

To blame: main.cpp: answer_all and the order of the ends after it; Peer::finish_writing, which ended a connection with our own side's close.

Change: limits::ShutdownOrder says the order and the bounds, and shutdown/shutdown.cpp carries it out. Callers are closed but for one; once no set-up is open our side of the endpoints' connections is closed and they are read to their ends (80 ms at the most); what they said is passed on; the last caller is closed and read to its end (200 ms at the most), and what it released goes to its endpoint by a connection of its own. Callers' set-ups behind our close are not read, as before.

--- a/src/limits/shutdown.cpp
+++ b/src/limits/shutdown.cpp
@@ -16,18 +16,44 @@
 // waits is refused, for a call that SIGKILL finds unanswered is lost.
 constexpr Duration kLongestCounted = 3s;
 constexpr Duration kBeforeKilled = 350ms;
-// Of the rest of these 0.7 s, what the far ends may take to close in turn; the end of the program needs some.
-constexpr Duration kFarEndsClose = 150ms;
+// Of the rest of these 0.7 s, what the far ends may take to close in turn: first the offices, whose releases
+// go to callers, then the callers. The end of the program needs some.
+constexpr Duration kOfficesClose = 80ms;
+constexpr Duration kCallersClose = 100ms;
 
 }  // namespace
 
 ShutdownTimes shutdown_times(Time asked, Duration longest_deadline) {
   const Duration counted = std::min(longest_deadline, kLongestCounted);
   const Time refuse_rest = asked + std::max(counted + kBeforeKilled, kLeastTaking);
-  const Time connections_over = asked + counted + kBeforeKilled + kFarEndsClose;
+  const Time offices_over = asked + counted + kBeforeKilled + kOfficesClose;
   return {.close_idle = std::min(asked + kStillTaking, refuse_rest),
           .refuse_rest = refuse_rest,
-          .connections_over = std::max(refuse_rest, connections_over)};
+          .offices_over = std::max(refuse_rest, offices_over),
+          .offices_close = kOfficesClose,
+          .connections_over = std::max(refuse_rest, offices_over + kCallersClose)};
+}
+
+ShutdownOrder::Steps ShutdownOrder::next(Time at, const Seen& seen) {
+  Steps out;
+  if (at < times_.close_idle) return out;
+  out.close_callers_but_one = !closing_;
+  closing_ = true;
+  out.refuse_calls = at >= times_.refuse_rest;
+  if (offices_by_ == Time::max()) {
+    if (seen.calls_open && !out.refuse_calls) return out;
+    out.finish_offices = true;
+    offices_by_ = std::min(at + times_.offices_close, times_.offices_over);
+    return out;
+  }
+  if (!last_closing_) {
+    if (!seen.offices_finished && at < offices_by_) return out;
+    out.close_last_caller = true;
+    last_closing_ = true;
+  }
+  out.close_callers_by = out.refuse_calls;
+  out.done = seen.callers_closed && !seen.calls_open;
+  return out;
 }
 
 }  // namespace reeltack::limits
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -64,6 +64,17 @@
   stop_accepting();
   close_peers(false);
 }
+void Door::close_idle_but_one() {
+  stop_accepting();
+  const std::lock_guard hold(lock_);
+  Peer* kept = nullptr;
+  for (const auto& [p, held] : peers_) {
+    if (p->listens() && (kept == nullptr || p->heard() > kept->heard())) kept = p;
+  }
+  for (const auto& [p, held] : peers_) {
+    if (p != kept) p->close(false);
+  }
+}
 void Door::close_now() {
   stop_accepting();
   close_peers(true);
--- a/src/net/door.h
+++ b/src/net/door.h
@@ -29,6 +29,7 @@
   void yield(std::size_t most);
   void stop_accepting();        // whoever the kernel has let in already is taken in first
   void close_idle();            // stops accepting; ends each connection once it may be ended (Peer::close)
+  void close_idle_but_one();    // the same, but for the connection that was last heard of
   void close_now();             // the same, not waiting for messages that have begun
   void close_by(Time over_by);  // the same, not waiting for senders to pause either (Peer::close_by)
   [[nodiscard]] bool closed();  // no connection is left
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -71,7 +71,10 @@
   const Time at = now();
   patience_.crowded(outbox_.crowded(), at);
   if (closing_ == Closing::whatever_comes) return stop_reading();
-  if (may_close()) return abandon_open(End::own);
+  if (may_close()) {
+    orderly_ = drains_ = takes_after_close();
+    return abandon_open(End::own);
+  }
   auto overdue = patience_.overdue(at);
   // What came in time may lie unread where the processor is short: then its peer is neither late nor silent.
   while (overdue && overdue != limits::Overdue::unread && !outbox_.crowded() && fd_.unread()) {
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -74,6 +74,10 @@
   virtual Next received() = 0;
   // The message in the buffer, or the first one, was not whole in time; the last words may be pushed.
   virtual void late() {}
+  // Our side was closed by our own orderly end, and more has come: nothing can be answered any more, but what
+  // concerns other connections may be taken. Else it is dropped.
+  [[nodiscard]] virtual bool takes_after_close() const { return false; }
+  virtual void received_after_close() {}
   // Nothing has come for so long; asked again after as long.
   virtual Next quiet() { return Next::more; }
   // Once, with the set-ups that are open here: the far end has closed, or nothing more is read or answered.
@@ -101,6 +105,8 @@
   void abandon_open(End why);
   void tell_left();
   bool drop_input();
+  bool take_input_after_close();
+  bool take_or_drop_input();
   void note_written();
   void finish_writing(Outbox::Flushed how);
   void drain();
@@ -124,6 +130,7 @@
   Time drained_by_ = kNever;
   std::size_t drained_ = 0;
   bool drains_ = false;
+  bool orderly_ = false;  // closed by us between two messages
   bool left_told_ = false;
 
   mutable std::mutex lock_;
--- a/src/net/peer_ending.cpp
+++ b/src/net/peer_ending.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kDrain = std::chrono::seconds(1);
 // Reads of some KB each before a connection is closed whose far end may never pause.
 constexpr int kMostLastReads = 32;
+// A peer whose connection we closed between two messages closes in turn; it is not waited for any longer.
+constexpr Duration kFarEndCloses = std::chrono::milliseconds(200);
 constexpr std::size_t kMostDrained = std::size_t{64} * 1024 * 1024;
 
 }  // namespace
@@ -32,6 +34,7 @@
     if (stage_ != Stage::reading) return;
   }
   drains_ = true;
+  orderly_ = takes_after_close();
   end_reading(End::own);
 }
 
@@ -43,7 +46,7 @@
     open = !open_.empty();
   }
   if (open) {
-    if (!left_told_ && drop_input()) tell_left();
+    if (!left_told_ && take_or_drop_input()) tell_left();
     return;
   }
   tell_left();
@@ -85,7 +88,7 @@
   fd_.shut_write();
   if (!drains_) return end();
   stage_ = Stage::draining;
-  drained_by_ = now() + kDrain;
+  drained_by_ = now() + (orderly_ ? kFarEndCloses : kDrain);
 }
 
 // Reads and drops what has come; true: the far end has closed, or has sent more than is dropped for it.
@@ -102,8 +105,24 @@
   }
 }
 
+// As drop_input(), but what has come is looked at.
+bool Peer::take_input_after_close() {
+  for (int reads = 0; reads < kMostLastReads; ++reads) {
+    const std::size_t before = buffer_.view().size();
+    const Got got = buffer_.fill_now(fd_);
+    if (got == Got::closed) return true;
+    if (got == Got::late) return false;
+    drained_ += buffer_.view().size() - before;
+    received_after_close();
+    if (drained_ >= kMostDrained || buffer_.full()) return true;
+  }
+  return false;
+}
+
+bool Peer::take_or_drop_input() { return orderly_ ? take_input_after_close() : drop_input(); }
+
 void Peer::drain() {
-  if (drop_input() || now() >= drained_by_) end();
+  if (take_or_drop_input() || now() >= drained_by_) end();
 }
 
 void Peer::end() {
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -31,7 +31,7 @@
   std::shared_ptr<Line> line;
   {
     const std::lock_guard hold(lock_);
-    if (reach_.gone()) return false;
+    if (reach_.gone() || finishing_) return false;
     Open& open = open_[set_up.call] = {set_up, class_name, ++tags_, false};
     line = line_;
     if (line) queue(line, set_up.call, open);
@@ -62,6 +62,7 @@
     }
     // Kept until it must have been read, as a release: an answer that crosses it stands until then.
     if (!tell_over(call, finish_line(call))) return line->fd.shut();
+    if (finishing_) loop_.wake(watch_);
   }
   pump(line);
 }
@@ -86,6 +87,7 @@
     if (reach_.gone()) return;  // with the office went its calls
     line = line_;
     tell_over(call, finish_line(call));
+    if (finishing_) loop_.wake(watch_);
   }
   line ? pump(line) : loop_.wake(watch_);
 }
@@ -110,6 +112,7 @@
       drop(Rest::read);
     }
     outdated_ = false;
+    if (finishing_) leave_all();
     read_leaving();
     if (line_) ask_if_there();
     if (!line_ && dialling_) look_at_dial();
@@ -215,6 +218,7 @@
     at = std::min(at, left.until);
   }
   turn_by_ = loop_.due(watch_, at);
+  if (may_leave_line()) loop_.wake(watch_);
 }
 // From now on it is to be looked at: woken only where no turn is due in time anyway. Of an open connection,
 // or of one that is wanted.
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -38,6 +38,11 @@
   void give_up(CallId call, std::uint32_t attempt);
   void release(CallId call);
   void keep(bool calls_stand);
+  // The program ends: no set-up is sent from now on, each connection is closed on our side once it may be,
+  // and read until the office has closed it too.
+  void finish();
+  [[nodiscard]] bool owes();      // a release waits to be written
+  [[nodiscard]] bool finished();  // all that the office had sent is read, and nothing is owed to it
   void turn(bool ready) override;
 
  private:
@@ -67,12 +72,15 @@
   // What follows, with the lock held; on the loop's thread but for queue() and look_in_time().
   void queue(const std::shared_ptr<Line>& line, CallId call, Open& open);
   [[nodiscard]] Time dial_at() const {
+    if (finishing_ && owed_.empty()) return net::kNever;
     return std::max(reach_.dial_at(!open_.empty(), !owed_.empty()), room_at_);
   }
   // When a connection that has gone quiet is asked for by a second one.
   [[nodiscard]] Time ask_at() const { return std::max(reach_.ask_at(), room_at_); }
   // When a second connection is dialled beside the open one, for that or for releases that may be lost.
-  [[nodiscard]] Time second_dial_at() const { return std::min(ask_at(), std::max(collect_at(), room_at_)); }
+  [[nodiscard]] Time second_dial_at() const {
+    return finishing_ ? net::kNever : std::min(ask_at(), std::max(collect_at(), room_at_));
+  }
   void dial();
   void look_at_dial();
   void dialled(net::Dial how);
@@ -86,6 +94,9 @@
   // The line that was in use, or one that came up beside it.
   enum class Leaves { used, beside };
   void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
+  [[nodiscard]] bool may_leave_line() const;
+  [[nodiscard]] bool owes_now() const;  // owes(), with the lock held
+  void leave_all();
   void evict(Time at);
   void let_go();  // of all that is being left
   void read_leaving();
@@ -112,6 +123,7 @@
   membership::Reach reach_;
   bool outdated_ = false;  // the connection is to a process that is told as gone, moved or started anew
   bool ended_ = false;
+  bool finishing_ = false;  // the program ends
   std::uint64_t tags_ = 0;
   std::map<CallId, Open> open_;
   std::vector<std::pair<CallId, std::string>> owed_;  // releases for the next connection
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -29,6 +29,7 @@
     if (!known && office.entry.state != ServerState::gone)
       link = std::make_shared<OfficeLink>(core_, loop_, office.entry.server, dial_limit_);
     if (!known && link) link->begin();
+    if (!known && link && finishing_) link->finish();
     if (link) link->listed(office);
     if (office.entry.state == ServerState::gone) links_.erase(office.entry.server);
   }
@@ -57,4 +58,18 @@
   if (const auto to = link(office)) to->keep(calls_stand);
 }
 
+void Offices::finish() {
+  const std::lock_guard hold(lock_);
+  finishing_ = true;
+  for (const auto& [id, link] : links_) link->finish();
+}
+bool Offices::owes() {
+  const std::lock_guard hold(lock_);
+  return std::any_of(links_.begin(), links_.end(), [](const auto& l) { return l.second->owes(); });
+}
+bool Offices::finished() {
+  const std::lock_guard hold(lock_);
+  return std::all_of(links_.begin(), links_.end(), [](const auto& l) { return l.second->finished(); });
+}
+
 }  // namespace reeltack::platform
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -25,6 +25,11 @@
   void release(ServerId office, CallId call) override;
   void keep(ServerId office, bool calls_stand) override;
 
+  // The program ends (OfficeLink::finish): set-ups are returned unsent from now on.
+  void finish();
+  [[nodiscard]] bool owes();      // releases wait to be written
+  [[nodiscard]] bool finished();  // whatever the offices had sent is with the core
+
  private:
   std::shared_ptr<OfficeLink> link(ServerId office);
   core::Core& core_;
@@ -32,7 +37,8 @@
   Duration dial_limit_;
   std::mutex lock_;
   std::map<ServerId, std::shared_ptr<OfficeLink>> links_;  // one whose office has gone ends by itself
-  net::Loop loop_;                                         // last: its turns end before what they use
+  bool finishing_ = false;
+  net::Loop loop_;  // last: its turns end before what they use
 };
 
 }  // namespace reeltack::platform
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -48,7 +48,7 @@
           [this](net::Peer& connection) { joined(connection); }) {}
 
 bool SipFront::take(const std::shared_ptr<SipConnection>& from, const SipMessage& message) {
-  if (message.method.empty()) return heard(from, message), true;
+  if (message.method.empty()) return heard(*from, message), true;
   if (message.method == "ACK") return true;  // nothing to do
   if (message.method == "OPTIONS") {
     from->push(core_.ready() ? sip_answer(200, "OK", message.echoed())
--- a/src/platform/sip.h
+++ b/src/platform/sip.h
@@ -21,7 +21,9 @@
   SipFront(core::Core& core, std::vector<std::string> class_names, std::size_t most_connections);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
-  // The end: each connection once no set-up is open on it, then those on which bytes go on coming as well.
+  // The end: each connection once no set-up is open on it, but for one, by which releases go that come yet;
+  // that one too; then those on which bytes go on coming as well.
+  void close_idle_but_one() { door_.close_idle_but_one(); }
   void close_idle() { door_.close_idle(); }
   void close_by(Time over_by) { door_.close_by(over_by); }
   [[nodiscard]] bool closed() { return door_.closed(); }
@@ -56,7 +58,8 @@
   bool tell_any(SipConnection* own, const SipConnection* except, CallId call, const std::string& line);
   void unheard(SipConnection& from);  // it has ended: what it may not have read goes by another
   bool take(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
-  void heard(const std::shared_ptr<SipConnection>& from, const SipMessage& message);
+  void heard(SipConnection& from, const SipMessage& message);
+  void take_after_close(SipConnection& from, const SipMessage& message);
   void take_invite(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
   // False: the same set-up is open here already, or this answers the one that came.
   bool open_dialogue(const std::shared_ptr<SipConnection>& from, const SipMessage& message, CallId call);
--- a/src/platform/sip_connection.h
+++ b/src/platform/sip_connection.h
@@ -43,6 +43,19 @@
       if (!front_.take(self, message)) push(sip_answer(400, "Bad Request", message.echoed()));
     }
   }
+  // Set-ups cross our close and come again; a release is not repeated.
+  [[nodiscard]] bool takes_after_close() const override { return true; }
+  void received_after_close() override {
+    for (;;) {
+      SipMessage message;
+      std::size_t used = 0;
+      const Parsed parsed = parse_sip(buffer_.view(), message, used);
+      if (parsed == Parsed::malformed) return buffer_.take(buffer_.view().size());
+      buffer_.take(used);
+      if (parsed == Parsed::more) return;
+      front_.take_after_close(*this, message);
+    }
+  }
   void late() override {
     push("SIP/2.0 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
     hang_up();
--- a/src/platform/sip_releases.cpp
+++ b/src/platform/sip_releases.cpp
@@ -45,12 +45,20 @@
 }
 
 // The answer to a release, which a caller may leave out.
-void SipFront::heard(const std::shared_ptr<SipConnection>& from, const SipMessage& message) {
+void SipFront::heard(SipConnection& from, const SipMessage& message) {
   const std::string* id = message.header("Call-ID");
   const auto call = id == nullptr ? std::nullopt : net::parse_hex16(*id);
   if (!call) return;
   const std::lock_guard hold(lock_);
-  from->releases_.heard(CallId{*call});
+  from.releases_.heard(CallId{*call});
+}
+
+// Our side is closed, so that its caller hears nothing more here; what it ends, ends all the same.
+void SipFront::take_after_close(SipConnection& from, const SipMessage& message) {
+  if (message.method.empty()) return heard(from, message);
+  const std::string* id = message.header("Call-ID");
+  const auto call = id == nullptr ? std::nullopt : net::parse_hex16(*id);
+  if (call && message.method == "BYE") core_.release(CallId{*call}, *this);
 }
 
 void SipFront::released(CallId call, int cause) {
--- /dev/null
+++ b/src/shutdown/shutdown.cpp
@@ -0,0 +1,47 @@
+#include "shutdown/shutdown.h"
+
+#include <future>
+
+namespace reeltack {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A step is short, so that the end follows soon after the last answer.
+constexpr Duration kStep = 10ms;
+// For what callers said last to reach the offices, on connections that may have to come up for it.
+constexpr Duration kLastReleases = 60ms;
+
+// Whatever was posted to the core before has been taken, and told to callers and offices.
+void await_core(core::Core& core) {
+  std::promise<void> taken;
+  core.at(net::now(), [&taken] { taken.set_value(); });
+  taken.get_future().wait();
+}
+
+}  // namespace
+
+void shut_down(core::Core& core, platform::Offices& offices, platform::SipFront& callers,
+               const limits::ShutdownTimes& times) {
+  limits::ShutdownOrder order(times);
+  for (bool done = false; !done; net::pause_until(net::now() + (done ? 0ms : kStep))) {
+    const auto steps = order.next(net::now(), {.calls_open = core.open_calls() > 0,
+                                               .offices_finished = offices.finished(),
+                                               .callers_closed = callers.closed()});
+    if (steps.close_callers_but_one) callers.close_idle_but_one();
+    if (steps.refuse_calls) core.refuse_all();
+    if (steps.finish_offices) offices.finish();
+    if (steps.close_last_caller) {
+      await_core(core);
+      callers.close_idle();
+    }
+    if (steps.close_callers_by) callers.close_by(times.connections_over);
+    done = steps.done;
+  }
+  await_core(core);
+  if (!offices.owes()) return;
+  for (const Time by = net::now() + kLastReleases; !offices.finished() && net::now() < by;)
+    net::pause_until(net::now() + 1ms);
+}
+
+}  // namespace reeltack
--- a/tests/limits/shutdown_test.cpp
+++ b/tests/limits/shutdown_test.cpp
@@ -22,7 +22,8 @@
     EXPECT_GT(times.close_idle, kAsked + kLastRequest);
     EXPECT_GE(times.refuse_rest, times.close_idle);
     EXPECT_LT(times.refuse_rest, killed);
-    EXPECT_GE(times.connections_over, times.refuse_rest);
+    EXPECT_GE(times.offices_over, times.refuse_rest);
+    EXPECT_GE(times.connections_over, times.offices_over);
     EXPECT_LT(times.connections_over, killed);
   }
 }
@@ -31,7 +32,58 @@
   const limits::ShutdownTimes times = limits::shutdown_times(kAsked, 9s);
   EXPECT_EQ(times.close_idle, kAsked + 1500ms);
   EXPECT_EQ(times.refuse_rest, kAsked + 3350ms);
-  EXPECT_EQ(times.connections_over, kAsked + 3500ms);
+  EXPECT_EQ(times.offices_over, kAsked + 3430ms);
+  EXPECT_EQ(times.connections_over, kAsked + 3530ms);
+}
+
+constexpr limits::ShutdownTimes kTimes{.close_idle = kAsked + 1s,
+                                       .refuse_rest = kAsked + 3s,
+                                       .offices_over = kAsked + 4s,
+                                       .offices_close = 500ms,
+                                       .connections_over = kAsked + 5s};
+using Seen = limits::ShutdownOrder::Seen;
+
+TEST(ShutdownOrder, OfficesAreReadToTheirEndsBeforeTheLastCallerIsClosed) {
+  limits::ShutdownOrder order(kTimes);
+  EXPECT_FALSE(order.next(kAsked + 1s - 1ns, {}).close_callers_but_one);
+  auto steps = order.next(kAsked + 1s, {.calls_open = true});
+  EXPECT_TRUE(steps.close_callers_but_one);
+  EXPECT_FALSE(steps.finish_offices) << "a set-up is open";
+  steps = order.next(kAsked + 1100ms, {.callers_closed = true});
+  EXPECT_FALSE(steps.close_callers_but_one) << "once";
+  EXPECT_TRUE(steps.finish_offices);
+  EXPECT_FALSE(steps.done);
+  steps = order.next(kAsked + 1200ms, {});
+  EXPECT_FALSE(steps.finish_offices) << "once";
+  EXPECT_FALSE(steps.close_last_caller);
+  steps = order.next(kAsked + 1300ms, {.offices_finished = true});
+  EXPECT_TRUE(steps.close_last_caller);
+  EXPECT_FALSE(steps.close_callers_by || steps.refuse_calls || steps.done);
+  EXPECT_FALSE(order.next(kAsked + 1400ms, {.offices_finished = true}).close_last_caller) << "once";
+  EXPECT_TRUE(order.next(kAsked + 1400ms, {.offices_finished = true, .callers_closed = true}).done);
+}
+
+TEST(ShutdownOrder, OfficesThatDoNotCloseAreWaitedForWithinABound) {
+  limits::ShutdownOrder order(kTimes);
+  EXPECT_TRUE(order.next(kAsked + 2s, {}).finish_offices);
+  EXPECT_FALSE(order.next(kAsked + 2500ms - 1ns, {}).close_last_caller);
+  EXPECT_TRUE(order.next(kAsked + 2500ms, {}).close_last_caller);
+}
+
+TEST(ShutdownOrder, WhatIsOpenInTheEndIsRefusedAndNobodyIsWaitedFor) {
+  limits::ShutdownOrder order(kTimes);
+  const Seen busy{.calls_open = true};
+  EXPECT_FALSE(order.next(kAsked + 3s - 1ns, busy).refuse_calls);
+  auto steps = order.next(kAsked + 3s, busy);
+  EXPECT_TRUE(steps.refuse_calls);
+  EXPECT_TRUE(steps.finish_offices);
+  EXPECT_FALSE(steps.close_callers_by);
+  steps = order.next(kAsked + 3500ms, busy);
+  EXPECT_TRUE(steps.refuse_calls) << "more may have come";
+  EXPECT_TRUE(steps.close_last_caller);
+  EXPECT_TRUE(steps.close_callers_by);
+  EXPECT_FALSE(order.next(kAsked + 4s, {.calls_open = true, .callers_closed = true}).done);
+  EXPECT_TRUE(order.next(kAsked + 4s, {.callers_closed = true}).done);
 }
 
 }  // namespace
