--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -5,8 +5,8 @@
 // limit.
 //
 // Threads: what the front overrides runs on the loop's thread; push, cut, opened, stood, closed, spare,
-// retire and close may be called from any. Times are absolute. A peer lives as long as anybody holds it, and
-// is over (over()) once its connection has ended.
+// retire, close and close_by may be called from any. Times are absolute. A peer lives as long as anybody
+// holds it, and is over (over()) once its connection has ended.
 #pragma once
 
 #include <atomic>
@@ -56,6 +56,10 @@
   // and answered, for a close under an open set-up would lose what crosses it. A message that has begun is
   // waited for in its time, or not where it is to be `now`.
   void close(bool now);
+  // Ends it whether or not its far end goes on sending: what has come is read once more, and nothing after
+  // that. What is open gets its answers, our side is closed, and the far end's last bytes are dropped until
+  // it has closed too, or `over_by`. What is still open then is waited for all the same.
+  void close_by(Time over_by);
   [[nodiscard]] bool retiring() const { return retiring_; }
   // It is not ending, by either side, as far as the kernel knows: what is pushed now can still be read.
   [[nodiscard]] bool listens() const { return !retiring_ && !answering_ && reachable(); }
@@ -70,6 +74,10 @@
   virtual Next received() = 0;
   // The message in the buffer, or the first one, was not whole in time; the last words may be pushed.
   virtual void late() {}
+  // Our side was closed by our own orderly end, and more has come: nothing can be answered any more, but what
+  // concerns other connections may be taken. Else it is dropped.
+  [[nodiscard]] virtual bool takes_after_close() const { return false; }
+  virtual void received_after_close() {}
   // Nothing has come for so long; asked again after as long.
   virtual Next quiet() { return Next::more; }
   // Once, with the set-ups that are open here: the far end has closed, or nothing more is read or answered.
@@ -97,12 +105,15 @@
   void abandon_open(End why);
   void tell_left();
   bool drop_input();
+  bool take_input_after_close();
+  bool take_or_drop_input();
   void note_written();
   void finish_writing(Outbox::Flushed how);
   void drain();
   void end();
   void arm();
   void keep_to_limits();
+  void stop_reading();
   [[nodiscard]] End broken() const;       // why, where it could not be read or written
   [[nodiscard]] Spare spare_now() const;  // with the lock held
 
@@ -119,6 +130,7 @@
   Time drained_by_ = kNever;
   std::size_t drained_ = 0;
   bool drains_ = false;
+  bool orderly_ = false;  // closed by us between two messages
   bool left_told_ = false;
 
   mutable std::mutex lock_;
@@ -129,8 +141,10 @@
   std::atomic<bool> retiring_{false};
   std::atomic<bool> answering_{
       false};  // set before open_ is looked at, so that its last answer wakes the loop
-  enum class Closing { no, when_idle, now };
+  enum class Closing { no, when_idle, now, whatever_comes };
   std::atomic<Closing> closing_{Closing::no};
+  std::atomic<Time::rep> over_by_{kNever.time_since_epoch().count()};  // of close_by()
+  [[nodiscard]] Time over_by() const { return Time{Duration{over_by_.load()}}; }
   std::atomic<bool> over_{false};
   std::atomic<bool> cut_{false};
 };
