--- a/src/store/writer.h
+++ b/src/store/writer.h
@@ -69,8 +69,8 @@
   KeeperCounts counts_;  // but for those of the queue
   bool stopping_ = false;
   bool run_ended_ = false;
-  DiskCalls calls_;  // its lock is taken after mutex_
   FailureReport report_;
+  DiskCalls calls_;  // its lock is taken after mutex_
 };
 
 }  // namespace reeltack::store
