Split the WebSocket front by responsibility, behaviour unchanged

Ruled out: a change of behaviour; the functions moved as they were, but for the names of the earlier house style. A registered centrale is an endpoint in the code, a socket a connection; the words on the wire stay.

--- /dev/null
+++ b/src/ws/clients.cpp
@@ -0,0 +1,134 @@
+// The front's side for clients: set-ups, questions and releases, and what they hear of their calls.
+#include <algorithm>
+
+#include "ws/connection.h"
+#include "ws/messages.h"
+
+namespace reeltack::ws {
+namespace {
+
+using namespace std::chrono_literals;
+using core::Phase;
+using core::Why;
+using net::Json;
+using net::quoted;
+
+constexpr Duration kLongestWait = 1h;  // of a caller
+
+}  // namespace
+
+void Front::from_client(const ConnectionPtr& from, const Json& message) {
+  const std::string type = text_field(message, "type");
+  const std::string id = text_field(message, "call");
+  const auto call = net::parse_hex16(id);
+  if (type.empty() || !call) {
+    from->send(error_message("bad-message", id));
+    return;
+  }
+  if (type == "set-up") return set_up(from, message, CallId{*call});
+  if (type == "give-up") return core_.give_up(CallId{*call}, *this);
+  if (type == "release") return core_.release(CallId{*call}, *this);
+  if (type == "status") return status(from, CallId{*call});
+  from->send(error_message("unknown-type", id));
+}
+
+void Front::set_up(const ConnectionPtr& from, const Json& message, CallId call) {
+  core::Request request;
+  CallArrived& told = request.told;
+  told.call = call;
+  const auto number = net::parse_hex16(text_field(message, "number"));
+  const auto patience = number_field(message, "patience_ms");
+  const Json* description = message.find("description");
+  const bool described = description != nullptr && description->string() != nullptr;
+  const double choice = number_field(message, "first_choice").value_or(0.0);
+  const double limit = std::chrono::duration<double, std::milli>(kLongestWait).count();
+  const bool in_range =
+      patience && *patience >= 0.0 && *patience <= limit && choice >= 0.0 && choice < 65536.0;
+  if (!number || !in_range || !described) {
+    from->send(error_message("bad-message", id_text(call)));
+    return;
+  }
+  told.number = NumberCalled{*number};
+  told.destination = static_cast<std::uint32_t>(choice);
+  told.caller_leaves = net::now() + std::chrono::milliseconds(static_cast<std::int64_t>(*patience));
+  const auto& names = setup_.class_names;
+  const auto name = std::find(names.begin(), names.end(), text_field(message, "class"));
+  request.class_known = name != names.end();
+  told.call_class = static_cast<std::uint32_t>(name - names.begin());
+  const Json* again = message.find("again");
+  told.cut_before = again != nullptr && again->boolean().value_or(false);
+  request.description = *description->string();
+  request.side = this;
+  {
+    const std::lock_guard hold(lock_);
+    // The call of this id goes on undisturbed; only the second set-up is an error.
+    if (!listening_.try_emplace(call, from).second) {
+      from->send(error_message("duplicate-id", id_text(call)));
+      return;
+    }
+    from->send(R"({"type":"taken","call":")" + id_text(call) + "\"}");
+  }
+  from->opened(call);
+  core_.request(std::move(request));
+}
+
+// Answers how the call stands; from now on this connection hears of it.
+void Front::status(const ConnectionPtr& from, CallId call) {
+  core_.ask(call, [this, call, weak = std::weak_ptr(from)](const core::Status& s) {
+    const ConnectionPtr connection = weak.lock();
+    if (!connection) return;
+    const bool ours = s.side == this;
+    std::string line = R"({"type":"status","call":")" + id_text(call) + R"(","state":")" +
+                       name_text(ours ? s.phase : Phase::unknown) + "\"";
+    if (ours && s.why != Why::none) line += std::string(R"(,"reason":")") + name_text(s.why) + "\"";
+    if (ours && s.phase == Phase::stands) line += ",\"description\":" + quoted(s.description);
+    if (ours && (s.phase == Phase::open || s.phase == Phase::stands)) {
+      const std::lock_guard hold(lock_);
+      std::weak_ptr<Connection>& listener = listening_[call];
+      const ConnectionPtr before = listener.lock();
+      if (before && before != connection) {
+        before->closed(call);
+        if (s.phase == Phase::open) connection->opened(call);
+      }
+      listener = connection;
+    }
+    connection->send(line + "}");
+  });
+}
+
+// The one place that tells a client of a call; the last message ends the listening.
+void Front::send_about(CallId call, std::string_view fields, bool last) {
+  const std::lock_guard hold(lock_);
+  const auto found = listening_.find(call);
+  if (found == listening_.end()) return;
+  const ConnectionPtr connection = found->second.lock();
+  if (last) listening_.erase(found);
+  if (!connection) return;  // dropped: the client may ask for the status
+  connection->send("{\"call\":\"" + id_text(call) + "\"," + std::string(fields) + "}");
+  connection->closed(call);  // only now: a connection without an open set-up may end at any time
+}
+
+bool Front::stands(CallId call, const std::string& description) {
+  send_about(call, R"("type":"answer","result":"stands","description":)" + quoted(description), false);
+  return true;  // a call outlives its connection: the client can ask for it and release it on another
+}
+
+void Front::refused(CallId call, Why why, Duration later) {
+  if (why == Why::duplicate) return send_about(call, R"("type":"error","reason":"duplicate-id")", true);
+  std::string fields = std::string(R"("type":"answer","result":")") + result_text(why) + R"(","reason":")" +
+                       name_text(why) + "\"";
+  const auto ms = std::chrono::ceil<std::chrono::milliseconds>(later).count();
+  if (ms > 0) fields += ",\"later_ms\":" + std::to_string(ms);
+  send_about(call, fields, true);
+}
+
+void Front::released(CallId call, int cause) {
+  send_about(call, R"("type":"released","cause":)" + std::to_string(cause), true);
+}
+
+void Front::over(CallId call) {
+  const std::lock_guard hold(lock_);
+  listening_.erase(call);
+}
+
+}  // namespace reeltack::ws
--- /dev/null
+++ b/src/ws/connection.cpp
@@ -0,0 +1,93 @@
+#include "ws/connection.h"
+
+#include "ws/messages.h"
+
+namespace reeltack::ws {
+namespace {
+
+// After so long the peer is asked by a ping, and cut off after as long again.
+constexpr Duration kSilence = std::chrono::seconds(20);
+constexpr const char* kClients = "/calls";
+constexpr const char* kEndpoints = "/centrales";
+
+}  // namespace
+
+Connection::Connection(Front& front, net::Fd fd) : net::Peer(std::move(fd), kSilence), front_(front) {}
+
+bool Connection::send(const std::string& json, net::Outbox::Check check) {
+  return push(text_frame(json), 0, std::move(check));
+}
+
+net::Peer::Next Connection::received() {
+  const auto self = std::static_pointer_cast<Connection>(shared_from_this());
+  if (path_.empty()) {
+    const Handshake handshake = read_handshake(buffer_.view(), {kClients, kEndpoints}, front_.setup_.origins);
+    buffer_.take(handshake.used);
+    if (handshake.result == Handshake::Result::more) return Next::more;
+    push(handshake.answer);
+    if (handshake.result == Handshake::Result::rejected) return hang_up();
+    path_ = handshake.path;
+    whole();
+  }
+  for (;;) {
+    std::size_t used = 0;
+    const std::optional<Message> message = assembler_.next(buffer_.view(), used);
+    buffer_.take(used);
+    if (used > 0) whole();
+    if (assembler_.fault() != 0) {
+      push(close_frame(assembler_.fault(), ""));
+      return hang_up();
+    }
+    if (!message) return Next::more;
+    asked_ = false;
+    if (!take(self, *message)) return Next::end;
+  }
+}
+
+bool Connection::take(const std::shared_ptr<Connection>& self, const Message& message) {
+  switch (message.kind) {
+    case Message::Kind::ping:
+      return push(control_frame(kOpPong, message.payload));
+    case Message::Kind::pong:
+      return true;
+    case Message::Kind::close:
+      push(close_frame(message.close_code == 0 ? kNormal : message.close_code, ""));
+      return false;
+    case Message::Kind::text:
+      return take_text(self, message.payload);
+  }
+  return true;
+}
+
+bool Connection::take_text(const std::shared_ptr<Connection>& self, const std::string& text) {
+  try {
+    const net::Json json = net::Json::parse(text);
+    if (json.object() == nullptr) return send(error_message("bad-message"));
+    path_ == kClients ? front_.from_client(self, json) : front_.from_endpoint(self, json);
+    return true;
+  } catch (const net::JsonError&) {
+    return send(error_message("bad-json"));
+  }
+}
+
+void Connection::late() {
+  if (path_.empty()) return;
+  push(close_frame(kProtocolError, "late"));  // half a frame
+  hang_up();
+}
+
+net::Peer::Next Connection::quiet() {
+  if (asked_) {  // no answer to the ping either: the peer is gone
+    push(close_frame(kGoingAway, "silent"));
+    return Next::end;
+  }
+  asked_ = true;
+  push(control_frame(kOpPing, "there?"));
+  return Next::more;
+}
+
+void Connection::left(const std::set<CallId>& /*open*/) {
+  front_.endpoint_lost(std::static_pointer_cast<Connection>(shared_from_this()));
+}
+
+}  // namespace reeltack::ws
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -1,8 +1,8 @@
-// The second front: call control over WebSocket, for clients (/calls) and for centrales (/centrales).
+// The second front: call control over WebSocket, for clients (/calls) and for endpoints (/centrales).
 //
-// Owns: the JSON messages of docs/call-control.md, which socket hears of which call, and the centrales that
-//   are registered here.
-// Must never: decide on a call, tie a call's life to a socket, or wait for a peer that does not read.
+// Owns: the JSON messages of docs/call-control.md, which connection hears of which call, and the endpoints
+//   that are registered here.
+// Must never: decide on a call, tie a call's life to a connection, or wait for a peer that does not read.
 #pragma once
 
 #include <map>
@@ -28,7 +28,7 @@
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
   void close_all() { door_.close_all(); }
-  [[nodiscard]] bool owns(ServerId office);  // it is a centrale of this front
+  [[nodiscard]] bool owns(ServerId office);  // it is an endpoint of this front
 
   // For callers.
   bool stands(CallId call, const std::string& description) override;
@@ -36,7 +36,7 @@
   void released(CallId call, int cause) override;
   void over(CallId call) override;
 
-  // For centrales. What is listed elsewhere does not concern them.
+  // For endpoints. What is listed elsewhere does not concern them.
   void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*offices*/) override {}
   void start(const core::SetUp& set_up) override;
   void give_up(ServerId office, CallId call, std::uint32_t attempt) override;
@@ -45,30 +45,30 @@
 
  private:
   friend class Connection;
-  using Socket = std::shared_ptr<Connection>;
-  struct Centrale {
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  struct Endpoint {
     core::OfficeEntry entry;
-    std::weak_ptr<Connection> socket;
-    std::map<CallId, std::uint32_t> out;  // attempts
-    std::vector<std::string> owed;        // for the next socket
+    std::weak_ptr<Connection> connection;
+    std::map<CallId, std::uint32_t> attempts;
+    std::vector<std::string> owed_messages;  // for the next connection
   };
-  void from_client(const Socket& from, const net::Json& message);
-  void set_up(const Socket& from, const net::Json& message, CallId call);
-  void status(const Socket& from, CallId call);
-  void from_centrale(const Socket& from, const net::Json& message);
-  void register_centrale(const Socket& from, const net::Json& message);
-  void lost(const Socket& socket);
-  void tell(CallId call, std::string_view fields, bool last);
+  void from_client(const ConnectionPtr& from, const net::Json& message);
+  void set_up(const ConnectionPtr& from, const net::Json& message, CallId call);
+  void status(const ConnectionPtr& from, CallId call);
+  void from_endpoint(const ConnectionPtr& from, const net::Json& message);
+  void register_endpoint(const ConnectionPtr& from, const net::Json& message);
+  void endpoint_lost(const ConnectionPtr& connection);
+  void send_about(CallId call, std::string_view fields, bool last);
   // Of a set-up whose message says that `told_ms` are left; writes it anew where less is left now.
   bool may_leave(const core::SetUp& set_up, std::int64_t told_ms, std::string& message);
-  [[nodiscard]] std::string set_up_line(const core::SetUp& set_up, std::int64_t left_ms) const;
+  [[nodiscard]] std::string set_up_message(const core::SetUp& set_up, std::int64_t left_ms) const;
 
   core::Core& core_;
   core::OfficeList& list_;
   const Setup setup_;
   std::mutex lock_;
   std::unordered_map<CallId, std::weak_ptr<Connection>> listening_;  // who hears of the call
-  std::map<ServerId, Centrale> centrales_;
+  std::map<ServerId, Endpoint> endpoints_;
   net::Door door_;  // last: its connections end before what they use
 };
 
--- /dev/null
+++ b/src/ws/messages.cpp
@@ -0,0 +1,48 @@
+#include "ws/messages.h"
+
+namespace reeltack::ws {
+
+using base::Json;
+using base::quoted;
+using core::Phase;
+using core::Why;
+
+const char* name_text(Why why) {
+  static constexpr const char* kNames[] = {
+      "none", "overload", "tried-in-vain", "deadline-passed", "duplicate-id", "unknown-class", "given-up"};
+  return kNames[static_cast<std::size_t>(why)];
+}
+const char* name_text(Phase phase) {
+  static constexpr const char* kNames[] = {"unknown", "open",     "stands", "refused",
+                                           "failed",  "given-up", "over"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+// The named result of a final answer.
+const char* result_text(Why why) {
+  return why == Why::refused ? "refused" : why == Why::given_up ? "given-up" : "failed";
+}
+
+std::string id_text(CallId call) { return base::hex16(static_cast<std::uint64_t>(call)); }
+std::string text_field(const Json& message, const char* key) {
+  const Json* field = message.find(key);
+  const std::string* s = field == nullptr ? nullptr : field->string();
+  return s == nullptr ? std::string() : *s;
+}
+std::optional<double> number_field(const Json& message, const char* key) {
+  const Json* field = message.find(key);
+  return field == nullptr ? std::nullopt : field->number();
+}
+std::string error_message(const char* reason, const std::string& call) {
+  return std::string(R"({"type":"error","reason":")") + reason + "\"" +
+         (call.empty() ? "" : ",\"call\":" + quoted(call)) + "}";
+}
+LoadReport load_report(const Json& message) {
+  LoadReport out;
+  const Json* load = message.find("load");
+  if (load == nullptr) return out;
+  out.free_lines = number_field(*load, "free").value_or(-1.0);
+  out.lines = number_field(*load, "lines").value_or(-1.0);
+  return out;
+}
+
+}  // namespace reeltack::ws
--- /dev/null
+++ b/src/ws/messages.h
@@ -0,0 +1,25 @@
+// Fields and names of the JSON messages of docs/call-control.md.
+//
+// Owns: how a field is read where it may be missing, and the words for results, reasons and states.
+// Must never: know a connection, or what follows from a message.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "base/json.h"
+#include "core/core.h"
+
+namespace reeltack::ws {
+
+const char* name_text(core::Why why);
+const char* name_text(core::Phase phase);
+const char* result_text(core::Why why);  // the named result of a final answer
+std::string id_text(CallId call);
+
+std::string text_field(const base::Json& message, const char* key);  // empty: missing, or no string
+std::optional<double> number_field(const base::Json& message, const char* key);
+LoadReport load_report(const base::Json& message);
+std::string error_message(const char* reason, const std::string& call = "");
+
+}  // namespace reeltack::ws
