--- a/src/main.cpp
+++ b/src/main.cpp
@@ -169,7 +169,7 @@
   net::log_line("asked to end: answering what was taken");
   sip.yield(node.limits.sockets / kYieldedShare);
   websocket.yield(fronts.websocket_connections);
-  shut_down(core, offices, sip, shutdown_times(node.settings));
+  shut_down(core, offices, sip, &websocket, shutdown_times(node.settings));
   management.close();
   operators.close();
   sip.close_all();
--- a/src/shutdown/shutdown.cpp
+++ b/src/shutdown/shutdown.cpp
@@ -22,14 +22,21 @@
 }  // namespace
 
 void shut_down(core::Core& core, platform::Offices& offices, platform::SipFront& callers,
-               const limits::ShutdownTimes& times) {
+               ws::Front* websocket, const limits::ShutdownTimes& times) {
   limits::ShutdownOrder order(times);
   for (bool done = false; !done; net::pause_until(net::now() + (done ? 0ms : kStep))) {
+    const bool clients_closed = websocket == nullptr || websocket->clients_closed();
     const auto steps = order.next(net::now(), {.calls_open = core.open_calls() > 0,
                                                .offices_finished = offices.finished(),
-                                               .callers_closed = callers.closed()});
-    if (steps.close_callers_but_one) callers.close_idle_but_one();
-    if (steps.refuse_calls) core.refuse_all();
+                                               .callers_closed = callers.closed() && clients_closed});
+    if (steps.close_callers_but_one) {
+      callers.close_idle_but_one();
+      if (websocket != nullptr) websocket->close_clients();
+    }
+    if (steps.refuse_calls) {
+      core.refuse_all();
+      if (websocket != nullptr) websocket->close_clients_now();
+    }
     if (steps.finish_offices) offices.finish();
     if (steps.close_last_caller) {
       await_core(core);
--- a/src/shutdown/shutdown.h
+++ b/src/shutdown/shutdown.h
@@ -7,11 +7,13 @@
 #include "limits/shutdown.h"
 #include "platform/offices.h"
 #include "platform/sip.h"
+#include "ws/front.h"
 
 namespace reeltack {
 
-// Returns once every caller's connection has ended and no call is open; in time for `times`.
+// Returns once every caller's connection has ended and no call is open; in time for `times`. `websocket`:
+// null where there is no such front; its clients are closed with the callers, its endpoints are left open.
 void shut_down(core::Core& core, platform::Offices& offices, platform::SipFront& callers,
-               const limits::ShutdownTimes& times);
+               ws::Front* websocket, const limits::ShutdownTimes& times);
 
 }  // namespace reeltack
--- /dev/null
+++ b/src/ws/endpoints.cpp
@@ -0,0 +1,149 @@
+// The front's side for endpoints: what they say, and the attempts and releases sent to them.
+#include "ws/connection.h"
+#include "ws/frames.h"
+#include "ws/messages.h"
+
+namespace reeltack::ws {
+namespace {
+
+using net::Json;
+using net::quoted;
+
+// Rounded down: nobody is told of more time than there is.
+std::int64_t whole_ms_left(Time give_up) {
+  return std::chrono::floor<std::chrono::milliseconds>(give_up - net::now()).count();
+}
+
+}  // namespace
+
+void Front::from_endpoint(const ConnectionPtr& from, const Json& message) {
+  const std::string type = text_field(message, "type");
+  if (type == "register") return register_endpoint(from, message);
+  std::optional<ServerId> id;
+  {
+    const std::lock_guard hold(lock_);
+    id = from->endpoint;
+    if (id) endpoints_[*id].releases.spoke(net::now());
+  }
+  if (!id) {
+    from->send(error_message("not-registered"));
+    return;
+  }
+  if (type == "load") return core_.reported(*id, load_report(message));
+  if (type == "drain") return change_state(from, *id, ServerState::draining);
+  if (type == "leave") return change_state(from, *id, ServerState::gone);
+  about_call(from, *id, message);
+}
+
+void Front::change_state(const ConnectionPtr& from, ServerId id, ServerState state) {
+  core::OfficeEntry entry;
+  {
+    const std::lock_guard hold(lock_);
+    Endpoint& endpoint = endpoints_[id];
+    endpoint.entry.entry.state = state;
+    entry = endpoint.entry;
+  }
+  list_.told(core::Source::registered, false, {entry});
+  from->send(state == ServerState::draining ? R"({"type":"draining"})" : R"({"type":"left"})");
+}
+
+void Front::about_call(const ConnectionPtr& from, ServerId id, const Json& message) {
+  const std::string type = text_field(message, "type");
+  const std::string call_text = text_field(message, "call");
+  const auto number = net::parse_hex16(call_text);
+  const auto cause = number_field(message, "cause");
+  const bool ended = type == "ended" && cause && *cause >= 0.0 && *cause <= 127.0;
+  if (!number || (type != "started" && !ended)) {
+    from->send(error_message("bad-message", call_text));
+    return;
+  }
+  const CallId call{*number};
+  {
+    const std::lock_guard hold(lock_);
+    Endpoint& endpoint = endpoints_[id];
+    endpoint.attempts.erase(call);
+    if (ended) endpoint.releases.heard(call);
+  }
+  if (!ended) return core_.answered(id, call, text_field(message, "description"));
+  core_.ended({id, call, static_cast<int>(*cause), text_field(message, "note"), load_report(message)});
+}
+
+// The first byte counts for drains, so all is checked again as the set-up leaves the queue.
+bool Front::may_leave(const core::SetUp& set_up, std::int64_t told_ms, std::string& message) {
+  {
+    const std::lock_guard hold(lock_);
+    Endpoint& endpoint = endpoints_[set_up.office];
+    const auto found = endpoint.attempts.find(set_up.call);
+    if (found == endpoint.attempts.end() || found->second.number != set_up.attempt) return false;
+    const ConnectionPtr connection = endpoint.connection.lock();
+    const std::int64_t left_ms = whole_ms_left(set_up.give_up);
+    if (connection && connection->listens() && endpoint.entry.entry.state == ServerState::ready &&
+        left_ms > 0) {
+      if (left_ms < told_ms) message = text_frame(set_up_message(set_up, left_ms));
+      found->second.left = true;
+      endpoint.releases.heard(set_up.call);  // of an attempt before; told again, it would end this one
+      core_.attempt_left();
+      return true;
+    }
+    endpoint.attempts.erase(found);
+  }
+  core_.send_failed(set_up.call, set_up.attempt, Ending::not_sent);
+  return false;
+}
+
+std::string Front::set_up_message(const core::SetUp& set_up, std::int64_t left_ms) const {
+  const auto& names = setup_.class_names;
+  return R"({"type":"set-up","call":")" + id_text(set_up.call) + R"(","class":)" +
+         quoted(set_up.call_class < names.size() ? names[set_up.call_class] : "") + R"(,"number":")" +
+         net::hex16(static_cast<std::uint64_t>(set_up.number)) + R"(","left_ms":)" + std::to_string(left_ms) +
+         ",\"description\":" + quoted(set_up.description) + "}";
+}
+
+void Front::start(const core::SetUp& set_up) {
+  const std::int64_t left_ms = whole_ms_left(set_up.give_up);
+  const std::string message = set_up_message(set_up, left_ms);
+  const std::lock_guard hold(lock_);
+  Endpoint& endpoint = endpoints_[set_up.office];
+  endpoint.attempts[set_up.call] = {set_up.attempt};
+  const ConnectionPtr connection = endpoint.connection.lock();
+  const auto leaves = [this, set_up, left_ms](std::string& leaving) {
+    return may_leave(set_up, left_ms, leaving);
+  };
+  if (connection && connection->send(message, leaves)) return;
+  endpoint.attempts.erase(set_up.call);
+  core_.send_failed(set_up.call, set_up.attempt, Ending::connect_failed);
+}
+
+void Front::give_up(ServerId office, CallId call, std::uint32_t /*attempt*/) {
+  const std::lock_guard hold(lock_);
+  Endpoint& endpoint = endpoints_[office];
+  const auto found = endpoint.attempts.find(call);
+  if (found == endpoint.attempts.end()) return;
+  const bool left = found->second.left;
+  endpoint.attempts.erase(found);
+  const ConnectionPtr connection = endpoint.connection.lock();
+  if (!left || !connection) return;  // a set-up that waits for its turn is dropped then
+  // Lost with the connection, it would leave the endpoint with a call that nobody wants.
+  endpoint.releases.sent(call, release_message(call), net::now());
+  // A peer that does not read would get this too late: closing gives up what is open there at once.
+  if (connection->blocked()) return connection->cut();
+  connection->send(R"({"type":"give-up","call":")" + id_text(call) + "\"}");
+}
+
+void Front::release(ServerId office, CallId call) {
+  const std::lock_guard hold(lock_);
+  send_release(endpoints_[office], call, release_message(call));
+}
+
+// On the connection, or owed to the next; it is kept until the endpoint must have read it.
+void Front::send_release(Endpoint& endpoint, CallId call, std::string message) {
+  const ConnectionPtr connection = endpoint.connection.lock();
+  if (!connection || !connection->listens() || !connection->send(message)) {
+    endpoint.owed.emplace_back(call, std::move(message));
+    return;
+  }
+  endpoint.releases.heard(call);
+  endpoint.releases.sent(call, std::move(message), net::now());
+}
+
+}  // namespace reeltack::ws
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -1,8 +1,8 @@
-// The second front: call control over WebSocket, for clients (/calls) and for centrales (/centrales).
+// The second front: call control over WebSocket, for clients (/calls) and for endpoints (/centrales).
 //
-// Owns: the JSON messages of docs/call-control.md, which socket hears of which call, and the centrales that
-//   are registered here.
-// Must never: decide on a call, tie a call's life to a socket, or wait for a peer that does not read.
+// Owns: the JSON messages of docs/call-control.md, which connection hears of which call, and the endpoints
+//   that are registered here.
+// Must never: decide on a call, tie a call's life to a connection, or wait for a peer that does not read.
 #pragma once
 
 #include <map>
@@ -11,6 +11,7 @@
 #include "base/json.h"
 #include "core/core.h"
 #include "core/office_list.h"
+#include "membership/releases.h"
 #include "net/door.h"
 
 namespace reeltack::ws {
@@ -27,8 +28,13 @@
   Front(core::Core& core, core::OfficeList& list, Setup setup);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void yield(std::size_t most) { door_.yield(most); }    // to a successor, if one listens beside this program
+  // The end: clients' connections once no set-up is open on them, then those in the middle of a message as
+  // well. Endpoints keep theirs until close_all(), for calls that are still to be answered need them.
+  void close_clients();
+  void close_clients_now();
+  [[nodiscard]] bool clients_closed();
   void close_all() { door_.close_all(); }
-  [[nodiscard]] bool owns(ServerId office);  // it is a centrale of this front
+  [[nodiscard]] bool owns(ServerId office);  // it is an endpoint of this front
 
   // For callers.
   bool stands(CallId call, const std::string& description) override;
@@ -36,7 +42,7 @@
   void released(CallId call, int cause) override;
   void over(CallId call) override;
 
-  // For centrales. What is listed elsewhere does not concern them.
+  // For endpoints. What is listed elsewhere does not concern them.
   void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& /*offices*/) override {}
   void start(const core::SetUp& set_up) override;
   void give_up(ServerId office, CallId call, std::uint32_t attempt) override;
@@ -45,30 +51,44 @@
 
  private:
   friend class Connection;
-  using Socket = std::shared_ptr<Connection>;
-  struct Centrale {
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  struct Attempt {
+    std::uint32_t number = 0;
+    bool left = false;  // its set-up is on the way; else it waits for its connection's turn
+  };
+  struct Endpoint {
     core::OfficeEntry entry;
-    std::weak_ptr<Connection> socket;
-    std::map<CallId, std::uint32_t> out;  // attempts
-    std::vector<std::string> owed;        // for the next socket
+    std::weak_ptr<Connection> connection;
+    std::map<CallId, Attempt> attempts;
+    membership::Releases releases;                     // that were sent on the connection
+    std::vector<std::pair<CallId, std::string>> owed;  // releases for the next connection
   };
-  void from_client(const Socket& from, const net::Json& message);
-  void set_up(const Socket& from, const net::Json& message, CallId call);
-  void status(const Socket& from, CallId call);
-  void from_centrale(const Socket& from, const net::Json& message);
-  void register_centrale(const Socket& from, const net::Json& message);
-  void lost(const Socket& socket);
-  void tell(CallId call, std::string_view fields, bool last);
+  void from_client(const ConnectionPtr& from, const net::Json& message);
+  void set_up(const ConnectionPtr& from, const net::Json& message, CallId call);
+  void status(const ConnectionPtr& from, CallId call);
+  void from_endpoint(const ConnectionPtr& from, const net::Json& message);
+  void change_state(const ConnectionPtr& from, ServerId id, ServerState state);
+  void about_call(const ConnectionPtr& from, ServerId id, const net::Json& message);
+  void register_endpoint(const ConnectionPtr& from, const net::Json& message);
+  // False: the endpoint has another connection that is up.
+  bool bind(const ConnectionPtr& from, const std::string& name, const core::OfficeEntry& entry);
+  void notice_end(ServerId id, const ConnectionPtr& registering);
+  void endpoint_lost(const ConnectionPtr& connection);
+  void forget_if_away(core::OfficeEntry entry);
+  // With the lock held.
+  ConnectionPtr connection_of(ServerId id);
+  static void send_release(Endpoint& endpoint, CallId call, std::string message);
+  void send_about(CallId call, std::string_view fields, bool last);
   // Of a set-up whose message says that `told_ms` are left; writes it anew where less is left now.
   bool may_leave(const core::SetUp& set_up, std::int64_t told_ms, std::string& message);
-  [[nodiscard]] std::string set_up_line(const core::SetUp& set_up, std::int64_t left_ms) const;
+  [[nodiscard]] std::string set_up_message(const core::SetUp& set_up, std::int64_t left_ms) const;
 
   core::Core& core_;
   core::OfficeList& list_;
   const Setup setup_;
   std::mutex lock_;
   std::unordered_map<CallId, std::weak_ptr<Connection>> listening_;  // who hears of the call
-  std::map<ServerId, Centrale> centrales_;
+  std::map<ServerId, Endpoint> endpoints_;
   net::Door door_;  // last: its connections end before what they use
 };
 
--- a/tests/crossings/last_releases_test.cpp
+++ b/tests/crossings/last_releases_test.cpp
@@ -125,7 +125,7 @@
   ASSERT_NE(read_until(caller_, "200 OK").find("200 OK"), std::string::npos);
   const Time at = net::now();
   base::Thread ending([this, at] {
-    shut_down(*core_, *offices_, *front_,
+    shut_down(*core_, *offices_, *front_, nullptr,
               {.close_idle = at,
                .refuse_rest = at + 60s,
                .offices_over = at + 60s,
