Put bind, listen, fcntl, ioctl, pipe2 behind the header; a failed start names its call

Observed: five kinds of calls went past src/net/system_calls.h, so that no test could fail them. A start that failed named the address but not the call (net.cpp listen_on), named none ("no descriptor for a loop", "trunk west: no pipe"), and the operators' socket told of the errno of bind where listen had failed (admin.cpp). After a failed F_GETFL dial() passed ~O_NONBLOCK of -1 to F_SETFL. Two tests held fixed loopback ports, two more a port by the process id on a shared address. Ruled out: getsockname and getpeername, which the serving path does not call; an LD_PRELOAD library for the start's test, since the program can be linked with the same replacements as the other tests. To blame: net.cpp listen_on and dial, loop.cpp's constructor, admin.cpp Server::open, trunk.cpp open. Tests take addresses of their own process. Waits.ConnectionIsUpWhateverItsFlagsSay passes without the mend of F_GETFL: the kernel refuses these flags on a socket (EINVAL); it holds the behaviour only.

--- a/src/admin/admin.cpp
+++ b/src/admin/admin.cpp
@@ -15,6 +15,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr int kListenBacklog = 16;
 constexpr Duration kRequest = 2s;
 constexpr Duration kAnswer = 10s;
 constexpr std::size_t kMostRequest = 4096;
@@ -35,6 +36,10 @@
   return fd;
 }
 
+[[noreturn]] void cannot_listen(const std::string& path, const char* call, int error) {
+  throw std::runtime_error(path + ": cannot listen: " + call + ": " + std::strerror(error));
+}
+
 std::string error_answer(const std::string& words) {
   return R"({"ok":false,"error":)" + base::quoted(words) + "}";
 }
@@ -51,14 +56,14 @@
   }
   const sockaddr_un at = address_of(path);
   listener_ = net::Fd(net::sys::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!listener_) cannot_listen(path, "socket", errno);
   // Under this mask no moment passes in which another user could connect.
   const mode_t mask = ::umask(0177);
-  const bool bound =
-      listener_ && ::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+  const bool bound = net::sys::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
   const int error = errno;
   ::umask(mask);
-  if (!bound || ::listen(listener_.get(), 16) != 0)
-    throw std::runtime_error(path + ": cannot listen: " + std::strerror(error));
+  if (!bound) cannot_listen(path, "bind", error);
+  if (net::sys::listen(listener_.get(), kListenBacklog) != 0) cannot_listen(path, "listen", errno);
   path_ = path;
   thread_ = net::Thread([this] { run(); });
 }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 #include <stdexcept>
 
 #include "net/system_calls.h"
@@ -18,11 +19,16 @@
 
 void count(std::atomic<std::uint64_t>& counter) { counter.fetch_add(1, std::memory_order_relaxed); }
 
+[[noreturn]] void no_loop(const char* call, int error) {
+  throw std::runtime_error(std::string("no event loop: ") + call + ": " + std::strerror(error));
+}
+
 }  // namespace
 
 Loop::Loop() : epoll_(sys::epoll_create1(EPOLL_CLOEXEC)), bell_(sys::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
-  if (!epoll_ || !bell_ || !watch(kBell, bell_, true, false))
-    throw std::runtime_error("no descriptor for a loop");
+  if (!epoll_) no_loop("epoll_create1", errno);
+  if (!bell_) no_loop("eventfd", errno);
+  if (!watch(kBell, bell_, true, false)) no_loop("epoll_ctl", errno);
 }
 
 void Loop::start() {
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -1,11 +1,9 @@
 #include "net/net.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -21,6 +19,8 @@
 // How soon a call is tried again that failed for want of memory or descriptors.
 constexpr auto kRoomAwaited = std::chrono::milliseconds(1);
 
+constexpr int kListenBacklog = 512;
+
 // Waits until the descriptor is ready; false at the deadline.
 bool wait_for(int fd, short what, Time deadline) {
   for (;;) {
@@ -56,6 +56,10 @@
   sys::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
+[[noreturn]] void cannot_listen(const Address& at, const char* call, int error) {
+  throw std::runtime_error("cannot listen on " + to_text(at) + ": " + call + ": " + std::strerror(error));
+}
+
 }  // namespace
 
 Fd& Fd::operator=(Fd&& other) noexcept {
@@ -81,7 +85,7 @@
 }
 bool Fd::unread() const {
   int waiting = 0;
-  return fd_ >= 0 && ::ioctl(fd_, FIONREAD, &waiting) == 0 && waiting > 0;
+  return fd_ >= 0 && sys::ioctl(fd_, FIONREAD, &waiting) == 0 && waiting > 0;
 }
 
 bool Fd::far_end_closed() const {
@@ -124,20 +128,24 @@
   if (out.how == Dial::pending)
     out.how = wait_for(out.fd.get(), POLLOUT, deadline) ? dial_state(out.fd) : Dial::failed;
   if (out.how != Dial::up) return {Fd{}, out.how};
-  ::fcntl(out.fd.get(), F_SETFL, ::fcntl(out.fd.get(), F_GETFL) & ~O_NONBLOCK);
+  // No read or write here waits in the kernel in any case: whatever fails, the connection is up.
+  const int flags = sys::fcntl(out.fd.get(), F_GETFL);
+  if (flags >= 0) sys::fcntl(out.fd.get(), F_SETFL, flags & ~O_NONBLOCK);
   return out;
 }
 
 Fd listen_on(const Address& at) {
   const auto target = resolve(at);
+  if (!target) throw std::runtime_error("cannot listen on " + to_text(at) + ": no IPv4 address");
   Fd fd(sys::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd) cannot_listen(at, "socket", errno);
   const int on = 1;
-  if (fd) sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   // A process that replaces this one listens beside it on the same port until this one has ended.
-  if (fd) sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-  if (!fd || !target || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0 ||
-      ::listen(fd.get(), 512) != 0)
-    throw std::runtime_error("cannot listen on " + to_text(at) + ": " + std::strerror(errno));
+  sys::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  if (sys::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target) != 0)
+    cannot_listen(at, "bind", errno);
+  if (sys::listen(fd.get(), kListenBacklog) != 0) cannot_listen(at, "listen", errno);
   // What an earlier handover attached stays with the port, and would have this listener passed over.
   sys::setsockopt(fd.get(), SOL_SOCKET, SO_DETACH_REUSEPORT_BPF, &on, sizeof on);
   return fd;
--- a/src/net/system_calls.h
+++ b/src/net/system_calls.h
@@ -9,9 +9,11 @@
 // .ci/system_calls refuses such calls elsewhere, so that none escapes.
 #pragma once
 
+#include <fcntl.h>
 #include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +24,8 @@
 // Connections.
 inline int socket(int domain, int type, int protocol) { return ::socket(domain, type, protocol); }
 inline int connect(int fd, const sockaddr* to, socklen_t size) { return ::connect(fd, to, size); }
+inline int bind(int fd, const sockaddr* at, socklen_t size) { return ::bind(fd, at, size); }
+inline int listen(int fd, int backlog) { return ::listen(fd, backlog); }
 inline int accept4(int listener, int flags) { return ::accept4(listener, nullptr, nullptr, flags); }
 inline int shutdown(int fd, int how) { return ::shutdown(fd, how); }
 inline int close(int fd) { return ::close(fd); }
@@ -31,6 +35,8 @@
 inline int getsockopt(int fd, int level, int name, void* value, socklen_t* size) {
   return ::getsockopt(fd, level, name, value, size);
 }
+inline int fcntl(int fd, int command, int value = 0) { return ::fcntl(fd, command, value); }
+inline int ioctl(int fd, unsigned long request, int* value) { return ::ioctl(fd, request, value); }
 
 // Bytes. No call waits on a socket or raises SIGPIPE.
 inline ssize_t recv(int fd, void* into, std::size_t size, int flags = 0) {
@@ -53,6 +59,7 @@
 inline int epoll_wait(int epoll, epoll_event* events, int most, int milliseconds) {
   return ::epoll_wait(epoll, events, most, milliseconds);
 }
+inline int pipe2(int (&ends)[2], int flags) { return ::pipe2(ends, flags); }
 inline int eventfd(unsigned int value, int flags) { return ::eventfd(value, flags); }
 
 }  // namespace reeltack::net::sys
--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -1,10 +1,8 @@
 #include "trunk/trunk.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 
 #include "base/json.h"
 #include "net/system_calls.h"
@@ -64,8 +62,8 @@
 
 void Trunk::open() {
   int ends[2];
-  if (::pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0)
-    throw std::runtime_error("trunk " + settings_.name + ": no pipe");
+  if (net::sys::pipe2(ends, O_CLOEXEC | O_NONBLOCK) != 0)
+    throw std::runtime_error("trunk " + settings_.name + ": pipe2: " + std::strerror(errno));
   wake_read_ = net::Fd(ends[0]);
   wake_write_ = net::Fd(ends[1]);
   if (settings_.listen) listener_ = net::listen_on(*settings_.listen);
--- a/tests/system_calls/discovery_test.cpp
+++ b/tests/system_calls/discovery_test.cpp
@@ -1,7 +1,6 @@
 // The discovery client with the n-th of its system calls failing: each event of the list comes through, once
 // and in its order.
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -92,7 +91,7 @@
 void follow(const Fault* fault) {
   const std::size_t before = faults::open_descriptors();
   {
-    const net::Address at{"127.0.0.1", static_cast<std::uint16_t>(20000 + ::getpid() % 10000)};
+    const net::Address at = own_address(3);
     Settings settings;
     settings.classes.push_back({.aim = 2s, .deadline = 9s});
     FakeRegistry registry(at);
--- a/tests/system_calls/exchange.cpp
+++ b/tests/system_calls/exchange.cpp
@@ -1,7 +1,6 @@
 #include "system_calls/exchange.h"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include "system_calls/faults.h"
 
@@ -10,19 +9,11 @@
 
 using namespace std::chrono_literals;
 
-// Addresses of this test process alone, so that tests run side by side.
-net::Address address(int last) {
-  const int pid = ::getpid();
-  return {"127." + std::to_string(200 + (pid >> 14 & 31)) + "." + std::to_string(pid >> 6 & 255) + "." +
-              std::to_string((pid & 63) * 4 + last),
-          static_cast<std::uint16_t>(last == 0 ? 5000 : 4000)};
-}
-
 }  // namespace
 
-Exchange::Exchange() : front(address(0)) {
-  endpoints.emplace_back(address(1), true);
-  endpoints.emplace_back(address(2), false);
+Exchange::Exchange() : front(own_address(0)) {
+  endpoints.emplace_back(own_address(1), true);
+  endpoints.emplace_back(own_address(2), false);
 }
 Exchange::~Exchange() {
   client.reset();
--- a/tests/system_calls/faults.h
+++ b/tests/system_calls/faults.h
@@ -16,13 +16,21 @@
 enum class Call {
   socket,
   connect,
+  bind,
+  listen,
+  accept,
   accept4,
   shutdown,
   close,
   setsockopt,
   getsockopt,
+  getpeername,
+  fcntl,
+  ioctl,
   recv,
+  recvfrom,
   send,
+  sendto,
   read,
   write,
   poll,
@@ -30,9 +38,10 @@
   epoll_ctl,
   epoll_wait,
   eventfd,
+  pipe2,
   pthread_create,
 };
-inline constexpr std::size_t kCalls = 17;
+inline constexpr std::size_t kCalls = 26;
 const char* name_of(Call call);
 
 inline constexpr int kShort = 0;  // in the place of an errno: one byte is moved
--- a/tests/system_calls/peers.cpp
+++ b/tests/system_calls/peers.cpp
@@ -2,12 +2,15 @@
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/json.h"
 
 namespace reeltack::test {
 namespace {
 
+constexpr std::uint16_t kPort = 4000;
+
 std::string line_of(const char* verb, std::uint64_t call, const std::string& more) {
   return std::string(R"({"verb":")") + verb + R"(","tag":")" + net::hex16(call) + R"(","opts":{})" + more +
          "}\n";
@@ -28,6 +31,13 @@
 
 }  // namespace
 
+net::Address own_address(int last) {
+  const int pid = ::getpid();
+  return {"127." + std::to_string(200 + (pid >> 14 & 31)) + "." + std::to_string(pid >> 6 & 255) + "." +
+              std::to_string((pid & 63) * 4 + last),
+          kPort};
+}
+
 bool Wire::read() {
   char chunk[4096];
   for (;;) {
--- a/tests/system_calls/peers.h
+++ b/tests/system_calls/peers.h
@@ -15,6 +15,9 @@
 
 namespace reeltack::test {
 
+// Of this process alone, so that a test runs beside itself. `last`: 0 to 3.
+net::Address own_address(int last);
+
 // One end of a connection, read as it comes.
 struct Wire {
   net::Fd fd;
--- a/tests/system_calls/services_test.cpp
+++ b/tests/system_calls/services_test.cpp
@@ -8,6 +8,7 @@
 #include "mgmt/client.h"
 #include "mgmt/server.h"
 #include "system_calls/faults.h"
+#include "system_calls/peers.h"
 
 namespace reeltack::test {
 namespace {
@@ -34,7 +35,7 @@
 
 TEST(Services, ManagementAddressOutlastsFailures) {
   const faults::TestThread exempt;
-  const net::Address at{"127.0.0.1", 24932};
+  const net::Address at = own_address(3);
   const std::string figures = "OK\n" + std::string(1000, 'x') + "\n";
   mgmt::Server server([&] { return mgmt::State{true, [&] { return figures; }}; });
   server.open(at);
--- a/tests/system_calls/shortage_test.cpp
+++ b/tests/system_calls/shortage_test.cpp
@@ -169,10 +169,34 @@
   }
 }
 
+// The kernel refuses what a handover asks for: the log says so, and who comes is still served here.
+TEST_F(Shortage, PortThatCantBeYieldedIsSaidAndServedOn) {
+  for (const int error : {ENOMEM, EINVAL}) {
+    Exchange exchange;
+    exchange.start();
+    exchange.list();
+    ASSERT_TRUE(exchange.until([&] { return exchange.core->ready(); }));
+    ::testing::internal::CaptureStderr();
+    faults::arm({.call = Call::setsockopt, .error = error});
+    {
+      const faults::ProgramCalls counted;
+      exchange.sip->yield(100);
+    }
+    const std::uint64_t failed = faults::failed();
+    faults::disarm();
+    const std::string log = ::testing::internal::GetCapturedStderr();
+    EXPECT_EQ(failed, 1U);
+    EXPECT_NE(log.find("the port can't be yielded: new connections still come here too"), std::string::npos)
+        << log;
+    exchange.expect_serving();
+  }
+}
+
 // Each call of the start fails: the program says so, or goes on without; it neither hangs nor leaks.
 TEST_F(Shortage, StartThatFailsEndsAndLeaksNothing) {
   const std::vector<std::pair<Call, int>> all = {{Call::socket, EMFILE},     {Call::epoll_create1, EMFILE},
                                                  {Call::eventfd, ENFILE},    {Call::epoll_ctl, ENOMEM},
+                                                 {Call::bind, EADDRINUSE},   {Call::listen, EADDRINUSE},
                                                  {Call::setsockopt, ENOMEM}, {Call::pthread_create, EAGAIN}};
   for (const auto& [call, error] : all) {
     std::uint64_t hits = 1;
@@ -189,9 +213,12 @@
           faults::disarm();
           exchange.list();
           exchange.expect_serving();
-        } catch (const std::runtime_error&) {
+        } catch (const std::runtime_error& said) {
           faults::disarm();
           ++refused;
+          // A thread is named by its own word.
+          const char* named = call == Call::pthread_create ? "no thread" : faults::name_of(call);
+          EXPECT_NE(std::string(said.what()).find(named), std::string::npos) << said.what();
         }
         hits = faults::failed();
       }
--- a/tests/system_calls/silence_test.cpp
+++ b/tests/system_calls/silence_test.cpp
@@ -1,7 +1,6 @@
 // A quiet connection to an endpoint, while this host has no room for the second one that would show whether
 // the endpoint is there.
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <cerrno>
@@ -9,6 +8,7 @@
 
 #include "platform/link.h"
 #include "system_calls/faults.h"
+#include "system_calls/peers.h"
 
 namespace reeltack::test {
 namespace {
@@ -51,7 +51,7 @@
   core::Core core(settings, 1);
   core.watch(blame);
   core.start(none);
-  const net::Address at{"127.0.0.1", static_cast<std::uint16_t>(20000 + ::getpid() % 10000)};
+  const net::Address at = own_address(3);
   const net::Fd listener = net::listen_on(at);
   net::Loop loop;
   const auto link = std::make_shared<platform::OfficeLink>(core, loop, kEndpoint, 500ms);
--- a/tests/system_calls/waits_test.cpp
+++ b/tests/system_calls/waits_test.cpp
@@ -1,4 +1,5 @@
 // Waits and single helpers of src/net where a call beneath them fails.
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -9,6 +10,7 @@
 #include "net/buffers.h"
 #include "net/loop.h"
 #include "system_calls/faults.h"
+#include "system_calls/peers.h"
 
 namespace reeltack::test {
 namespace {
@@ -78,6 +80,32 @@
   EXPECT_EQ(net::dial_state(pair.near), net::Dial::up);
 }
 
+// Where its flags can not be read or set, they stay.
+TEST(Waits, ConnectionIsUpWhateverItsFlagsSay) {
+  const net::Address at = own_address(3);
+  const net::Fd listener = net::listen_on(at);
+  for (const std::uint64_t first : {1U, 2U}) {
+    faults::arm({.call = Call::fcntl, .error = EINVAL, .first = first});
+    const net::Dialled client = net::dial(at, net::now() + 5s);
+    EXPECT_EQ(faults::failed(), 1U);
+    faults::disarm();
+    ASSERT_EQ(client.how, net::Dial::up);
+    EXPECT_EQ(::fcntl(client.fd.get(), F_GETFL) & ~(O_NONBLOCK | O_RDWR), 0);
+  }
+}
+
+// What can't be asked counts as nothing unread, and the connection goes on.
+TEST(Waits, WhatIsUnreadIsNotKnownWhereTheKernelDoesNotSay) {
+  const Pair pair;
+  ASSERT_TRUE(net::write_all(pair.far, "x", net::now() + 5s));
+  EXPECT_TRUE(pair.near.unread());
+  faults::arm({.call = Call::ioctl, .error = EINVAL});
+  EXPECT_FALSE(pair.near.unread());
+  EXPECT_EQ(faults::failed(), 1U);
+  faults::disarm();
+  EXPECT_TRUE(pair.near.unread());
+}
+
 // Each wait keeps its deadline while poll fails, without a busy loop.
 TEST(Waits, DeadlinesHoldWhilePollFails) {
   const Pair pair;
@@ -133,7 +161,7 @@
 
 // A wait for a connection outlasts a lack of descriptors and a connection that was aborted.
 TEST(Waits, AcceptingGoesOnAfterFailures) {
-  const net::Address at{"127.0.0.1", 24931};
+  const net::Address at = own_address(3);
   const net::Fd listener = net::listen_on(at);
   const net::Dialled client = net::dial(at, net::now() + 5s);
   for (const int error : {EMFILE, ECONNABORTED, EINTR, ENOMEM, EHOSTUNREACH}) {
