--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kAgain = 200ms;
 constexpr Duration kRefused = 1s;  // after a handshake that failed
 constexpr Duration kTurn = 100ms;
+constexpr Duration kRoomAwaited = 1ms;  // after a call that failed for want of memory
 constexpr std::size_t kMostQueued = std::size_t{4} * 1024 * 1024;
 
 // Q.850, as the far end's core and ours mean them.
@@ -306,7 +307,7 @@
     }
     report();
     pollfd p{wake_read_.get(), POLLIN, 0};
-    net::sys::poll(
+    net::poll_some(
         &p, 1, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(kTurn / 4).count()));
     drain_wakes();
   } while (!stopping_ && base::now() < until);
@@ -427,8 +428,9 @@
     if (!why.empty()) break;
     if (!writing.empty()) {
       const ssize_t n = net::sys::send(fd.get(), writing.data() + written, writing.size() - written);
-      if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ENOBUFS &&
-          errno != ENOMEM) {
+      if (n < 0 && (errno == ENOBUFS || errno == ENOMEM)) {
+        net::pause_until(base::now() + kRoomAwaited);  // it shows as writable all the while
+      } else if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
         why = "it is gone";
         break;
       }
@@ -448,8 +450,11 @@
     net::poll_some(waits, 2, static_cast<int>(std::clamp<std::int64_t>(wait, 0, 100)));
     if ((waits[1].revents & POLLIN) != 0) drain_wakes();
     if ((waits[0].revents & (POLLIN | POLLHUP | POLLERR)) == 0) continue;
-    if (buffer.fill(fd, base::kNever) != net::Got::data) {
+    const net::Got got = buffer.fill_now(fd);
+    if (got == net::Got::closed) {
       why = "it is gone";
+    } else if (got == net::Got::late) {  // no memory for what shows as readable
+      net::pause_until(base::now() + kRoomAwaited);
     } else {
       heard = base::now();
       if (!read_frames(buffer)) why = "it sent what no far end may send";
