--- a/src/fleet/link/connections.cpp
+++ b/src/fleet/link/connections.cpp
@@ -8,7 +8,7 @@
 namespace reeltack::fleet::link {
 namespace {
 constexpr int kBacklog = 32;
-constexpr auto kPause = std::chrono::milliseconds(50);  // after an accept that failed (out of descriptors)
+constexpr auto kPause = std::chrono::milliseconds(50);  // after an accept that failed
 }  // namespace
 
 Connections::Connections(Surroundings around)
@@ -18,6 +18,8 @@
   const asio::ip::tcp::endpoint at(address_of(around_.settings.listen), around_.settings.listen.port);
   acceptor_.open(at.protocol());
   acceptor_.set_option(asio::socket_base::reuse_address(true));
+  // Else asio waits for the next connection after one that was aborted, whoever else is in the queue.
+  acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
   acceptor_.bind(at);
   acceptor_.listen(kBacklog);
 }
--- a/src/fleet/link/udp.cpp
+++ b/src/fleet/link/udp.cpp
@@ -6,11 +6,12 @@
 namespace reeltack::fleet::link {
 
 namespace {
-constexpr int kReceiveBuffer = 256 * 1024;  // what a flood can hold of the kernel's memory
-}
+constexpr int kReceiveBuffer = 256 * 1024;                   // what a flood can hold of the kernel's memory
+constexpr auto kRoomAwaited = std::chrono::milliseconds(5);  // after a read that failed for want of memory
+}  // namespace
 
 UdpTask::UdpTask(Surroundings around)
-    : around_(std::move(around)), socket_(around_.io), buffer_(kMostDatagramRead + 1) {}
+    : around_(std::move(around)), socket_(around_.io), pause_(around_.io), buffer_(kMostDatagramRead + 1) {}
 
 void UdpTask::open() {
   const asio::ip::udp::endpoint at(address_of(around_.settings.listen), around_.settings.listen.port);
@@ -27,18 +28,22 @@
     asio::error_code error;
     co_await socket_.async_wait(asio::ip::udp::socket::wait_read, with(error));
     if (error) co_return;
-    drain(around_.settings.datagrams_a_turn);
+    if (drain(around_.settings.datagrams_a_turn)) continue;
+    pause_.expires_after(kRoomAwaited);  // the socket shows as readable all the while
+    co_await pause_.async_wait(with(error));
   }
 }
 
-void UdpTask::drain(std::size_t most) {
+bool UdpTask::drain(std::size_t most) {
   for (std::size_t i = 0; i < most && socket_.is_open(); ++i) {
     asio::ip::udp::endpoint from;
     asio::error_code error;
     const std::size_t size = socket_.receive_from(asio::buffer(buffer_), from, 0, error);
-    if (error == asio::error::would_block || error == asio::error::try_again) return;
+    if (error == asio::error::would_block || error == asio::error::try_again) return true;
+    if (error == asio::error::no_buffer_space || error == asio::error::no_memory) return false;
     if (!error) take({buffer_.data(), size});
   }
+  return true;
 }
 
 void UdpTask::take(std::string_view bytes) {
--- a/src/fleet/link/udp.h
+++ b/src/fleet/link/udp.h
@@ -16,7 +16,8 @@
   void start();
   void send(const SendDatagram& datagram);
   void send(const SendNews& news);
-  void drain(std::size_t most);  // reads and tells what lies in the socket
+  // Reads and tells what lies in the socket. False: this host has no memory to read it now.
+  bool drain(std::size_t most);
   void close();
 
  private:
@@ -27,6 +28,7 @@
 
   Surroundings around_;
   asio::ip::udp::socket socket_;
+  asio::steady_timer pause_;
   std::vector<char> buffer_;
 };
 
