Give the readers of YAML files one base for spans, addresses and problems

Change: yaml::FieldReader has them once; messages are the same, word for word. src/yaml may use base for the address (src/rooms). document.cpp keeps reading; the schema check is schema_check.cpp in steps (path, unknown keys, missing keys, order of problems), problems and pointers have files of their own.

--- a/src/config/controllers.cpp
+++ b/src/config/controllers.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "yaml/document.h"
+#include "yaml/field_reader.h"
 #include "yaml/span.h"
 
 namespace reeltack::config {
@@ -41,18 +42,20 @@
 
 using nlohmann::json;
 
-class Reader {
+constexpr const char* kWantedAddress = "an address as 127.0.0.1:7946";
+
+class Reader : yaml::FieldReader {
  public:
-  Reader(const yaml::Document& document, const Node& node) : document_(document), node_(node) {}
+  Reader(const yaml::Document& document, const Node& node) : FieldReader(document), node_(node) {}
 
   Controllers read() {
-    const json& top = document_.value()["fleet"];
+    const json& top = value()["fleet"];
     Controllers out;
     out.fleet = top["id"];
     out.epoch = top.value("epoch", std::uint64_t{0});
     out.zone = top.value("zone", std::string());
-    out.listen = address(top, "/fleet", "listen").value_or(base::Address{});
-    out.advertise = address(top, "/fleet", "advertise").value_or(out.listen);
+    out.listen = parsed(top, "listen").value_or(base::Address{});
+    out.advertise = parsed(top, "advertise").value_or(out.listen);
     out.size = top["size"];
     out.store = top.value("store", std::string());
     out.rules_file = top.value("rules", std::string());
@@ -75,7 +78,7 @@
     if (out.size > 1 && out.seeds.empty())
       fail("/fleet/seeds", "is missing: a fleet of more than one needs some to ask");
     terms(top, out);
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    finish();
     return out;
   }
 
@@ -83,8 +86,8 @@
   void terms(const json& top, Controllers& out) {
     fleet::TurnSettings& t = out.turn;
     const json probes = top.value("probes", json::object());
-    t.members.period = span(probes, "/fleet/probes", "period", t.members.period);
-    t.members.probe_timeout = span(probes, "/fleet/probes", "timeout", t.members.probe_timeout);
+    t.members.period = span_above_zero(probes, "/fleet/probes", "period", t.members.period);
+    t.members.probe_timeout = span_above_zero(probes, "/fleet/probes", "timeout", t.members.probe_timeout);
     t.members.indirect = probes.value("indirect", t.members.indirect);
     if (t.members.probe_timeout >= t.members.period)
       fail("/fleet/probes/timeout", "must be shorter than the period of " +
@@ -92,62 +95,45 @@
                                         ": the probe through others needs the rest of it");
     const json exchange = top.value("exchange", json::object());
     fleet::pace::PaceSettings& pace = t.pace;
-    pace.every = span(exchange, "/fleet/exchange", "every", pace.every);
-    pace.urgent = span(exchange, "/fleet/exchange", "urgent", pace.urgent);
+    pace.every = span_above_zero(exchange, "/fleet/exchange", "every", pace.every);
+    pace.urgent = span_above_zero(exchange, "/fleet/exchange", "urgent", pace.urgent);
     pace.bytes = exchange.value("bytes", pace.bytes);
     if (pace.urgent > pace.every)
       fail("/fleet/exchange/urgent", "must be no longer than every, " + yaml::show_span(pace.every));
     const json recovery = top.value("recovery", json::object());
     fleet::recovery::RecoverySettings& r = t.recovery;
     const std::string at = "/fleet/recovery";
-    r.asking_most = span(recovery, at, "asking", r.asking_most);
-    r.probation_most = span(recovery, at, "probation", r.probation_most);
-    r.partial_most = span(recovery, at, "partial", r.partial_most);
-    r.opening_least = span(recovery, at, "opening", r.opening_least);
-    r.fresh = span(recovery, at, "fresh", r.fresh);
+    r.asking_most = span_above_zero(recovery, at, "asking", r.asking_most);
+    r.probation_most = span_above_zero(recovery, at, "probation", r.probation_most);
+    r.partial_most = span_above_zero(recovery, at, "partial", r.partial_most);
+    r.opening_least = span_above_zero(recovery, at, "opening", r.opening_least);
+    r.fresh = span_above_zero(recovery, at, "fresh", r.fresh);
     r.enough = recovery.value("enough", r.enough);
     r.too_little = recovery.value("too_little", r.too_little);
     if (r.too_little >= r.enough)
       fail(at + "/too_little", "must be below enough, or service would swing between two stages");
-    r.leases.lease = span(recovery, at, "lease", r.leases.lease);
+    r.leases.lease = span_above_zero(recovery, at, "lease", r.leases.lease);
     r.leases.least_size = out.size;
     const json half = recovery.value("half_life", json::object());
-    r.offices.half_life_state = span(half, at + "/half_life", "state", r.offices.half_life_state);
-    r.offices.half_life_list = span(half, at + "/half_life", "list", r.offices.half_life_list);
-    r.offices.half_life_warm = span(half, at + "/half_life", "warm", r.offices.half_life_warm);
+    r.offices.half_life_state = span_above_zero(half, at + "/half_life", "state", r.offices.half_life_state);
+    r.offices.half_life_list = span_above_zero(half, at + "/half_life", "list", r.offices.half_life_list);
+    r.offices.half_life_warm = span_above_zero(half, at + "/half_life", "warm", r.offices.half_life_warm);
     take_platform_terms(node_.settings, r);
   }
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
-  Duration span(const json& at, const std::string& pointer, const char* key, Duration fallback) {
-    if (!at.contains(key)) return fallback;
-    try {
-      const Duration out = yaml::parse_span(at[key]);
-      if (out <= Duration{}) fail(pointer + "/" + key, "must be above 0");
-      return out;
-    } catch (const std::invalid_argument& error) {
-      fail(pointer + "/" + key, error.what());
-      return fallback;
-    }
-  }
+  // Where others are to send to: a port of its own.
   std::optional<base::Address> parsed(const std::string& text, const std::string& pointer) {
-    auto out = base::parse_address(text);
-    in_addr ignored{};
-    if (!out || out->port == 0 || ::inet_pton(AF_INET, out->host.c_str(), &ignored) != 1) {
-      fail(pointer, "must be an address as 127.0.0.1:7946, not '" + text + "'");
-      return std::nullopt;
-    }
-    return out;
+    const auto out = parse_address(text, pointer, kWantedAddress);
+    if (!out || out->port != 0) return out;
+    fail(pointer, std::string("must be ") + kWantedAddress + ", not '" + text + "'");
+    return std::nullopt;
   }
-  std::optional<base::Address> address(const json& at, const std::string& pointer, const char* key) {
-    if (!at.contains(key)) return std::nullopt;
-    return parsed(at[key], pointer + "/" + key);
+
+  std::optional<base::Address> parsed(const json& top, const char* key) {
+    if (!top.contains(key)) return std::nullopt;
+    return parsed(top[key], std::string("/fleet/") + key);
   }
 
-  const yaml::Document& document_;
   const Node& node_;
-  std::vector<yaml::Problem> problems_;
   std::set<std::string> seen_;
 };
 
--- a/src/config/trunks.cpp
+++ b/src/config/trunks.cpp
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "yaml/document.h"
+#include "yaml/field_reader.h"
 #include "yaml/span.h"
 
 namespace reeltack::config {
@@ -15,45 +16,24 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-// The platform's rule on callers: what is over must be told within 8 s.
+// The platform's rule on callers: they must be notified within 8 s of a call that is over.
 constexpr Duration kLongestSilence = 7s;
+constexpr const char* kWantedAddress = "an address as 127.0.0.1:2905";
 
-class Reader {
+class Reader : yaml::FieldReader {
  public:
-  explicit Reader(const yaml::Document& document) : document_(document) {}
+  explicit Reader(const yaml::Document& document) : FieldReader(document) {}
 
   std::vector<trunk::TrunkSettings> read() {
     std::vector<trunk::TrunkSettings> out;
-    const json& trunks = document_.value()["trunks"];
+    const json& trunks = value()["trunks"];
     for (std::size_t i = 0; i < trunks.size(); ++i)
       out.push_back(read_one(trunks[i], "/trunks/" + std::to_string(i)));
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    finish();
     return out;
   }
 
  private:
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
-  Duration span(const json& at, const std::string& pointer, const char* key, Duration fallback) {
-    if (!at.contains(key)) return fallback;
-    try {
-      const Duration out = yaml::parse_span(at[key]);
-      if (out <= Duration{}) fail(pointer + "/" + key, "must be above 0");
-      return out;
-    } catch (const std::invalid_argument& error) {
-      fail(pointer + "/" + key, error.what());
-      return fallback;
-    }
-  }
-  std::optional<net::Address> address(const json& at, const std::string& pointer, const char* key) {
-    if (!at.contains(key)) return std::nullopt;
-    const std::string text = at[key];
-    auto out = net::parse_address(text);
-    if (!out) fail(pointer + "/" + key, "must be an address as 127.0.0.1:2905, not '" + text + "'");
-    return out;
-  }
-
   trunk::TrunkSettings read_one(const json& t, const std::string& at) {
     trunk::TrunkSettings out;
     out.name = t["name"];
@@ -63,8 +43,8 @@
     out.place = t.value("place", 0U);
     out.far_place = t.value("far_place", out.place);
     out.capacity = t.value("capacity", 1.0);
-    out.dial = address(t, at, "dial");
-    out.listen = address(t, at, "listen");
+    out.dial = address(t, at, "dial", kWantedAddress);
+    out.listen = address(t, at, "listen", kWantedAddress);
     if (t.contains("dial") == t.contains("listen"))
       fail(at, "needs one of dial and listen: one end dials, the other listens");
     circuits::GroupSettings& g = out.group;
@@ -80,25 +60,23 @@
                                       : circuits::Hunting::opposite;
     const json audit = t.value("audit", json::object());
     const std::string inside = at + "/audit";
-    g.audit_period = span(audit, inside, "period", g.audit_period);
-    g.confirm_after = span(audit, inside, "confirm", g.confirm_after);
+    g.audit_period = span_above_zero(audit, inside, "period", g.audit_period);
+    g.confirm_after = span_above_zero(audit, inside, "confirm", g.confirm_after);
     g.audit_range = audit.value("range", g.audit_range);
     g.settle_batch = audit.value("batch", g.settle_batch);
-    g.settle_gap = span(audit, inside, "gap", g.settle_gap);
-    const Duration bound = span(audit, inside, "bound", 10s);
+    g.settle_gap = span_above_zero(audit, inside, "gap", g.settle_gap);
+    const Duration bound = span_above_zero(audit, inside, "bound", 10s);
     const Duration reached = circuits::settle_bound(g);
     if (reached > bound)
       fail(inside, "frees a stuck circuit of " + std::to_string(g.size) + " only after " +
                        yaml::show_span(reached) + ", later than its bound of " + yaml::show_span(bound) +
                        ": period + confirm + gap for each batch; shorten them or make batch larger");
-    g.release_again = span(t, at, "release_again", g.release_again);
-    g.silence_most = span(t, at, "silence", g.silence_most);
+    g.release_again = span_above_zero(t, at, "release_again", g.release_again);
+    g.silence_most = span_above_zero(t, at, "silence", g.silence_most);
     if (g.silence_most > kLongestSilence)
       fail(at + "/silence", "must be at most 7s: callers must hear within 8 s that their call is over");
     return out;
   }
-  const yaml::Document& document_;
-  std::vector<yaml::Problem> problems_;
   std::set<std::string> names_;
   std::set<ServerId> offices_;
 };
--- a/src/config/versions.cpp
+++ b/src/config/versions.cpp
@@ -2,6 +2,7 @@
 
 #include "config/terms.h"
 #include "yaml/document.h"
+#include "yaml/field_reader.h"
 #include "yaml/span.h"
 
 namespace reeltack::config {
@@ -21,9 +22,9 @@
   return meaning ? std::optional(meaning->type) : std::nullopt;
 }
 
-class Reader {
+class Reader : yaml::FieldReader {
  public:
-  Reader(const yaml::Document& document, const Node& node) : document_(document), node_(node) {
+  Reader(const yaml::Document& document, const Node& node) : FieldReader(document), node_(node) {
     const rules::Tree module = rules::read_back(node.settings, node.class_names);
     for (const auto& [key, value] : module.rules()) known_.push_back(key);
     rules::Tree terms;
@@ -32,7 +33,7 @@
   }
 
   Version read() {
-    const json& top = document_.value()["version"];
+    const json& top = value()["version"];
     Version out;
     out.epoch = top["epoch"];
     take(top["rules"], "/version/rules", out.rules);
@@ -42,8 +43,8 @@
         take(rules, std::string("/version/") + of + "/" + name,
              (of[0] == 'z' ? out.zones : out.names)[rules::spelt_name(name)]);
     }
-    if (problems_.empty()) check(out);
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    if (!failed()) check(out);
+    finish();
     return out;
   }
 
@@ -105,14 +106,9 @@
     if (write(version).size() > fleet::drift::kMostVersionText)
       fail("/version", "is larger than 40 KB as it spreads");
   }
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
 
-  const yaml::Document& document_;
   const Node& node_;
   std::vector<std::string> known_;
-  std::vector<yaml::Problem> problems_;
 };
 
 Version read(const yaml::Document& document, const Node& node) {
--- a/src/load/scenario_file.cpp
+++ b/src/load/scenario_file.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <filesystem>
 
+#include "yaml/field_reader.h"
+
 namespace reeltack::load {
 
 extern const char* const kScenarioSchema;
@@ -14,9 +16,9 @@
 using yaml::parse_span;
 using yaml::show_span;
 
-class Reader {
+class Reader : yaml::FieldReader {
  public:
-  explicit Reader(const yaml::Document& document) : document_(document), top_(document.value()) {}
+  explicit Reader(const yaml::Document& document) : FieldReader(document), top_(value()) {}
 
   Scenario read() {
     Scenario out;
@@ -28,23 +30,11 @@
     read_arrivals(out);
     read_shapes(out);
     read_callers(out);
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    finish();
     return out;
   }
 
  private:
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
-  Duration span(const json& at, const std::string& pointer, const char* key, Duration fallback) {
-    if (!at.contains(key)) return fallback;
-    try {
-      return parse_span(at[key]);
-    } catch (const std::invalid_argument& error) {
-      fail(pointer + "/" + key, error.what());
-      return fallback;
-    }
-  }
   static double part(const json& at, const char* key, double fallback) {
     return at.contains(key) ? std::stod(std::string(at[key])) / 100.0
                             : fallback;  // the schema saw to its form
@@ -173,9 +163,7 @@
     out.backlog_bytes = limits.value("backlog_mb", std::size_t{64}) * 1024 * 1024;
   }
 
-  const yaml::Document& document_;
   const json& top_;
-  std::vector<yaml::Problem> problems_;
 };
 
 Scenario read(const yaml::Document& document) {
--- a/src/standin/between/between_file.cpp
+++ b/src/standin/between/between_file.cpp
@@ -6,7 +6,7 @@
 
 #include "standin/between/between.h"
 #include "yaml/document.h"
-#include "yaml/span.h"
+#include "yaml/field_reader.h"
 
 namespace reeltack::standin {
 
@@ -17,19 +17,19 @@
 
 using nlohmann::json;
 
-class BetweenReader {
+class BetweenReader : yaml::FieldReader {
  public:
-  explicit BetweenReader(const yaml::Document& document) : document_(document) {}
+  explicit BetweenReader(const yaml::Document& document) : FieldReader(document) {}
 
   BetweenSettings read() {
-    const json& top = document_.value();
+    const json& top = value();
     BetweenSettings out;
     out.seed = top.value("seed", std::uint64_t{1});
-    out.relays = address(top, "", "relays");
+    out.relays = loopback(top, "", "relays");
     const json& members = top["members"];
     for (std::size_t i = 0; i < members.size(); ++i) {
       const std::string at = "/members/" + std::to_string(i);
-      out.members.push_back({members[i]["name"], address(members[i], at, "at")});
+      out.members.push_back({members[i]["name"], loopback(members[i], at, "at")});
       for (const std::string group : members[i].value("groups", json::array()))
         out.groups[group].push_back(out.members.back().name);
     }
@@ -37,9 +37,9 @@
       fail("/relays", "leaves no room for " + std::to_string(members.size() * members.size()) + " ports");
     held("/members", [&out] { (void)plan(out); });
     const json faults = top.value("faults", json::array());
-    for (std::size_t i = 0; i < faults.size() && problems_.empty(); ++i)
+    for (std::size_t i = 0; i < faults.size() && !failed(); ++i)
       read_fault(faults[i], "/faults/" + std::to_string(i), out);
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    finish();
     return out;
   }
 
@@ -49,9 +49,6 @@
     for (const BetweenMember& m : s.members) names.push_back(m.name);
     return {names, s.groups, {}};
   }
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
   // What `what` refuses is said of this place.
   template <typename What>
   void held(const std::string& pointer, What what) {
@@ -61,21 +58,14 @@
       fail(pointer, error.what());
     }
   }
-  Duration span(const json& at, const std::string& pointer, const char* key) {
-    Duration out{};
-    if (at.contains(key)) held(pointer + "/" + key, [&] { out = yaml::parse_span(at[key]); });
-    return out;
-  }
-  base::Address address(const json& at, const std::string& pointer, const char* key) {
-    const std::string text = at[key];
-    const auto out = base::parse_address(text);
-    if (!out) fail(pointer + "/" + key, "must be a loopback address as 127.0.1.1:7000, not '" + text + "'");
-    return out.value_or(base::Address{"127.0.0.1", 1});
+  base::Address loopback(const json& at, const std::string& pointer, const char* key) {
+    return address(at, pointer, key, "a loopback address as 127.0.1.1:7000")
+        .value_or(base::Address{"127.0.0.1", 1});
   }
   void read_fault(const json& f, const std::string& at, BetweenSettings& out) {
     ScheduledFault one;
-    one.at = span(f, at, "at");
-    one.lasts = span(f, at, "lasts");
+    one.at = span(f, at, "at", {});
+    one.lasts = span(f, at, "lasts", {});
     if (one.lasts <= Duration{}) fail(at + "/lasts", "must be above 0");
     LinkSet& on = one.links;
     on.from = f.value("from", on.from);
@@ -85,11 +75,11 @@
     held(at + "/to", [&] { (void)plan(out).links({on.to, {"*"}, false}); });
     Fault& fault = one.fault;
     fault.drop = f.value("drop", 0.0);
-    fault.delay = span(f, at, "delay");
-    fault.jitter = span(f, at, "jitter");
+    fault.delay = span(f, at, "delay", {});
+    fault.jitter = span(f, at, "jitter", {});
     fault.duplicate = f.value("duplicate", 0.0);
     fault.reorder = f.value("reorder", 0.0);
-    fault.hold = span(f, at, "hold");
+    fault.hold = span(f, at, "hold", {});
     fault.corrupt = f.value("corrupt", 0.0);
     fault.cut = f.value("cut", false);
     fault.reset = f.value("reset", false);
@@ -100,9 +90,6 @@
     if (fault == Fault{}) fail(at, "names no fault: drop, delay, cut or another");
     out.schedule.push_back(std::move(one));
   }
-
-  const yaml::Document& document_;
-  std::vector<yaml::Problem> problems_;
 };
 
 BetweenSettings read(const yaml::Document& document) {
--- a/src/standin/centrales_file.cpp
+++ b/src/standin/centrales_file.cpp
@@ -2,8 +2,8 @@
 
 #include <charconv>
 
-#include "load/scenario_file.h"
 #include "yaml/document.h"
+#include "yaml/field_reader.h"
 
 namespace reeltack::standin {
 
@@ -14,48 +14,34 @@
 
 using nlohmann::json;
 
-class Reader {
+class Reader : yaml::FieldReader {
  public:
-  explicit Reader(const yaml::Document& document) : document_(document) {}
+  explicit Reader(const yaml::Document& document) : FieldReader(document) {}
 
   CentralesSettings read() {
-    const json& top = document_.value();
+    const json& top = value();
     CentralesSettings out;
     out.seed = top.value("seed", std::uint64_t{1});
-    if (top.contains("bulletin")) out.bulletin = address(top, "", "bulletin");
+    if (top.contains("bulletin")) out.bulletin = loopback(top, "", "bulletin");
     out.bulletin_delay = span(top, "", "bulletin_delay", {});
     for (std::size_t i = 0; i < top["centrales"].size(); ++i)
       read_centrales(top["centrales"][i], "/centrales/" + std::to_string(i), out);
     const json troubles = top.value("troubles", json::array());
     for (std::size_t i = 0; i < troubles.size(); ++i)
       read_trouble(troubles[i], "/troubles/" + std::to_string(i), out);
-    if (!problems_.empty()) throw yaml::Error(std::move(problems_));
+    finish();
     return out;
   }
 
  private:
-  void fail(const std::string& pointer, const std::string& text) {
-    problems_.push_back(document_.problem(pointer, text));
-  }
-  Duration span(const json& at, const std::string& pointer, const char* key, Duration fallback) {
-    if (!at.contains(key)) return fallback;
-    try {
-      return load::parse_span(at[key]);
-    } catch (const std::invalid_argument& error) {
-      fail(pointer + "/" + key, error.what());
-      return fallback;
-    }
-  }
-  base::Address address(const json& at, const std::string& pointer, const char* key) {
-    const std::string text = at[key];
-    const auto out = base::parse_address(text);
-    if (!out) fail(pointer + "/" + key, "must be a loopback address as 127.0.1.1:2905, not '" + text + "'");
-    return out.value_or(base::Address{"127.0.0.1", 1});
+  base::Address loopback(const json& at, const std::string& pointer, const char* key) {
+    return address(at, pointer, key, "a loopback address as 127.0.1.1:2905")
+        .value_or(base::Address{"127.0.0.1", 1});
   }
 
   void read_centrales(const json& c, const std::string& at, CentralesSettings& out) {
     CentraleSettings one;
-    one.at = address(c, at, "at");
+    one.at = loopback(c, at, "at");
     one.wire = c.value("wire", "lines") == "ws" ? CentraleWire::ws : CentraleWire::lines;
     one.place = c.value("place", 0U);
     one.capacity = c.value("capacity", 1.0);
@@ -137,9 +123,6 @@
     }
     out.troubles.push_back(std::move(one));
   }
-
-  const yaml::Document& document_;
-  std::vector<yaml::Problem> problems_;
 };
 
 CentralesSettings read(const yaml::Document& document) {
--- a/src/yaml/document.cpp
+++ b/src/yaml/document.cpp
@@ -2,59 +2,23 @@
 
 #include <yaml-cpp/yaml.h>
 
-#include <algorithm>
 #include <charconv>
 #include <fstream>
-#include <numeric>
-#include <optional>
 #include <sstream>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
+
+#include "yaml/pointer.h"
 
 namespace reeltack::yaml {
+
 namespace {
 
 using nlohmann::json;
 
 // Guards against aliases that unfold without end.
 constexpr std::size_t kMostNodes = 200'000;
-constexpr std::size_t kMostBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{8} * 1024 * 1024;  // 8 MiB
 constexpr int kMostDepth = 64;
 
-std::string joined(const std::vector<Problem>& problems) {
-  std::string out;
-  for (const Problem& p : problems) out += (out.empty() ? "" : "\n") + p.shown();
-  return out;
-}
-
-std::string escaped(std::string key) {  // RFC 6901, 3
-  for (std::size_t at = 0; (at = key.find_first_of("~/", at)) != std::string::npos; at += 2)
-    key.replace(at, 1, key[at] == '~' ? "~0" : "~1");
-  return key;
-}
-
-// "/classes/0/share" as people write it: classes[0].share
-std::string as_key(const std::string& pointer) {
-  std::string out;
-  std::istringstream parts(pointer);
-  std::string part;
-  std::getline(parts, part, '/');
-  while (std::getline(parts, part, '/')) {
-    for (std::size_t at = 0; (at = part.find('~', at)) != std::string::npos; ++at)
-      part.replace(at, 2, part.compare(at, 2, "~0") == 0 ? "~" : "/");
-    const bool index = !part.empty() && part.find_first_not_of("0123456789") == std::string::npos;
-    if (index) {
-      out.append("[").append(part).append("]");
-    } else {
-      out.append(out.empty() ? "" : ".").append(part);
-    }
-  }
-  return out;
-}
-
 // YAML 1.2, 10.3.2: the core schema's types of plain scalars.
 json typed(const YAML::Node& node) {
   const std::string& text = node.Scalar();
@@ -76,46 +40,14 @@
   return text;
 }
 
-std::size_t distance(const std::string& a, const std::string& b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  std::iota(row.begin(), row.end(), std::size_t{0});
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    std::size_t corner = row[0];
-    row[0] = i + 1;
-    for (std::size_t j = 0; j < b.size(); ++j) {
-      const std::size_t changed = corner + (a[i] == b[j] ? 0 : 1);
-      corner = row[j + 1];
-      row[j + 1] = std::min({row[j] + 1, row[j + 1] + 1, changed});
-    }
-  }
-  return row.back();
-}
-
 }  // namespace
 
-std::string nearest(const std::string& word, const std::vector<std::string>& known) {
-  std::string best;
-  std::size_t least = std::max<std::size_t>(word.size() / 3, 1) + 1;
-  for (const std::string& k : known) {
-    if (const std::size_t d = distance(word, k); d < least) least = d, best = k;
-  }
-  return best;
-}
-
-std::string Problem::shown() const {
-  std::string out = file;
-  if (line > 0) out += ":" + std::to_string(line) + ":" + std::to_string(column);
-  return out + ": " + (key.empty() ? "" : key + ": ") + text;
-}
-
-Error::Error(std::vector<Problem> problems)
-    : std::runtime_error(joined(problems)), problems_(std::move(problems)) {}
-
+// Turns the nodes of one file into values, and keeps the mark of each.
 class Builder {
  public:
   explicit Builder(Document& out) : out_(out) {}
 
-  json build(const YAML::Node& node, const std::string& pointer, int depth) {
+  nlohmann::json build(const YAML::Node& node, const std::string& pointer, int depth) {
     if (++nodes_ > kMostNodes || depth > kMostDepth) {
       mark(node.Mark(), pointer);
       throw Error(
@@ -125,13 +57,13 @@
     mark(node.Mark(), pointer);
     if (node.IsScalar()) return typed(node);
     if (node.IsSequence()) {
-      json list = json::array();
+      nlohmann::json list = nlohmann::json::array();
       for (std::size_t i = 0; i < node.size(); ++i)
         list.push_back(build(node[i], pointer + "/" + std::to_string(i), depth + 1));
       return list;
     }
     if (!node.IsMap()) return nullptr;
-    json object = json::object();
+    nlohmann::json object = nlohmann::json::object();
     for (const auto& field : node) {
       if (!field.first.IsScalar()) throw Error({out_.problem(pointer, "every key must be a plain word")});
       const std::string key = field.first.Scalar();
@@ -185,109 +117,4 @@
   return {file_, line, column, as_key(pointer), text};
 }
 
-namespace {
-
-// The part of a schema that stands for the value at a pointer, through properties, items and local $ref.
-const json* schema_at(const json& schema, const std::vector<std::string>& path) {
-  const json* at = &schema;
-  const auto resolve = [&schema](const json* s) {
-    while (s != nullptr && s->is_object() && s->contains("$ref")) {
-      const std::string ref = (*s)["$ref"];
-      s = &schema.at(json::json_pointer(ref.substr(1)));
-    }
-    return s;
-  };
-  at = resolve(at);
-  for (const std::string& part : path) {
-    if (at == nullptr || !at->is_object()) return nullptr;
-    if (at->contains("properties") && (*at)["properties"].contains(part)) {
-      at = resolve(&(*at)["properties"][part]);
-    } else if (at->contains("items")) {
-      at = resolve(&(*at)["items"]);
-    } else {
-      return nullptr;
-    }
-  }
-  return at;
-}
-
-std::string wanted(const json& part) {
-  if (part.contains("x-wanted")) return part["x-wanted"];
-  if (part.contains("enum")) {
-    std::string out = "one of";
-    for (const json& word : part["enum"]) out += " " + (word.is_string() ? std::string(word) : word.dump());
-    return out;
-  }
-  std::string out = part.contains("type") ? "a value of type " + part["type"].dump() : "another value";
-  if (part.contains("minimum")) out += ", at least " + part["minimum"].dump();
-  if (part.contains("exclusiveMinimum")) out += ", above " + part["exclusiveMinimum"].dump();
-  if (part.contains("maximum")) out += ", at most " + part["maximum"].dump();
-  if (part.contains("minItems")) out += ", with at least " + part["minItems"].dump() + " entries";
-  return out;
-}
-
-}  // namespace
-
-void Document::check(const json& schema) const {
-  valijson::Schema compiled;
-  valijson::SchemaParser parser;
-  parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(schema), compiled);
-  valijson::Validator validator;  // strong types: what is a string stays one
-  valijson::ValidationResults results;
-  if (validator.validate(compiled, valijson::adapters::NlohmannJsonAdapter(value_), &results)) return;
-
-  std::map<std::string, Problem> found;  // the deepest word on each place; an object's own come of its parts
-  valijson::ValidationResults::Error error;
-  while (results.popError(error)) {
-    std::string pointer;
-    std::vector<std::string> path;
-    for (std::size_t i = 1; i < error.context.size(); ++i) {  // "[key]" or "[0]" after "<root>"
-      std::string part = error.context[i];
-      if (part.size() >= 2 && part.front() == '[') part = part.substr(1, part.size() - 2);
-      path.push_back(part);
-      pointer.append("/").append(escaped(part));
-    }
-    const json* part = schema_at(schema, path);
-    const json* value =
-        value_.contains(json::json_pointer(pointer)) ? &value_[json::json_pointer(pointer)] : nullptr;
-    bool own = false;
-    if (part != nullptr && part->contains("properties") && value != nullptr && value->is_object()) {
-      std::vector<std::string> known;
-      for (const auto& [key, unused] : (*part)["properties"].items()) known.push_back(key);
-      for (const auto& [key, unused] : value->items()) {
-        if ((*part)["properties"].contains(key)) continue;
-        const std::string near = nearest(key, known);
-        std::string all;
-        for (const std::string& k : known) all += (all.empty() ? "" : ", ") + k;
-        const std::string at = pointer + "/" + escaped(key);
-        found.emplace(at, problem(at, "is no key of this place; " +
-                                          (near.empty() ? "known are " + all : "was " + near + " meant?")));
-        own = true;
-      }
-      for (const json& key : part->value("required", json::array())) {
-        if (value->contains(std::string(key))) continue;
-        const std::string at = pointer + "/" + escaped(key);
-        found.emplace(at, problem(at, "is missing"));
-        own = true;
-      }
-      if (!own) continue;  // said of a part of it
-    }
-    if (own) continue;
-    const std::string shown = value == nullptr ? "nothing" : value->dump().substr(0, 60);
-    found.emplace(pointer, problem(pointer, "must be " + (part == nullptr ? "another value" : wanted(*part)) +
-                                                ", not " + shown));
-  }
-  std::vector<Problem> problems;
-  for (auto& [pointer, p] : found) {
-    // What is wrong with a part is said there, and not once more of the whole.
-    const auto inner = found.upper_bound(pointer + "/");
-    if (inner == found.end() || inner->first.rfind(pointer + "/", 0) != 0) problems.push_back(std::move(p));
-  }
-  if (problems.empty()) problems.push_back(problem("", "does not fit its schema"));
-  std::stable_sort(problems.begin(), problems.end(), [](const Problem& a, const Problem& b) {
-    return std::pair(a.line, a.column) < std::pair(b.line, b.column);
-  });
-  throw Error(std::move(problems));
-}
-
 }  // namespace reeltack::yaml
