Split the load report, callers and traces by responsibility

Of the callers, what the target answers (callers_answers) and the descriptions of fakes (description, centrale_description -> endpoint_description). Of traces, the format that both sides read (trace_format, columns by name), the import in steps (trace_import) and the reader.

--- a/src/load/plan/callers.cpp
+++ b/src/load/plan/callers.cpp
@@ -1,9 +1,9 @@
 #include "load/plan/callers.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace reeltack::load {
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -15,30 +15,8 @@
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration from_seconds(double s) { return std::chrono::round<Duration>(std::chrono::duration<double>(s)); }
 
-std::string hex(std::uint64_t value) {
-  std::string out(16, '0');
-  for (std::size_t i = 16; i-- > 0; value >>= 4U) out[i] = "0123456789abcdef"[value & 15U];
-  return out;
-}
-
 }  // namespace
 
-std::string centrale_description(std::uint64_t call, std::string_view office, std::uint64_t number) {
-  const std::string line = "o=" + std::string(office) + " " + hex(call) + " " + hex(number);
-  return line + "\r\nc=IN IP4 127.0.0.1\r\ns=" + hex(hash(line)) + "\r\n";
-}
-
-std::string check_description(std::string_view text, std::uint64_t call, std::string* office) {
-  const std::string_view line = text.substr(0, text.find("\r\n"));
-  const std::size_t one = line.find(' ');
-  const std::size_t two = one == std::string_view::npos ? one : line.find(' ', one + 1);
-  if (line.substr(0, 2) != "o=" || two == std::string_view::npos) return "no centrale's description";
-  if (line.substr(one + 1, two - one - 1) != hex(call)) return "the description of another call";
-  if (text.find("s=" + hex(hash(line)) + "\r\n") == std::string_view::npos) return "a spoilt description";
-  if (office != nullptr) *office = line.substr(2, one - 2);
-  return {};
-}
-
 Callers::Callers(const Scenario& scenario, std::uint64_t salt, std::size_t users, Recorder& recorder,
                  bool check_descriptions)
     : scenario_(scenario),
@@ -52,28 +30,13 @@
 TryId Callers::id_of(const Arrival& a, std::uint32_t tries) const {
   return TryId{mix((std::uint64_t{a.call_class} << 56U | a.index << 4U | tries) ^ salt_)};
 }
+
 bool Callers::ever_made(TryId id) const {
   const std::uint64_t plain = unmix(static_cast<std::uint64_t>(id)) ^ salt_;
   const std::uint64_t c = plain >> 56U;
   return c < made_.size() && (plain >> 4U & 0xfffffffffffffULL) < made_[c];
 }
 
-Callers::Call* Callers::trying(TryId id) {
-  const auto found = current_.find(id);
-  if (found == current_.end()) return nullptr;
-  Call& call = calls_.at(found->second);
-  return call.phase == Phase::trying ? &call : nullptr;
-}
-
-void Callers::unexpected(TryId id, const char* what) {
-  const std::string words = std::string(what) + " for " + hex(static_cast<std::uint64_t>(id));
-  if (ever_made(id)) {
-    recorder_.violation(&Violations::second_answers, "a second answer: " + words);
-  } else {
-    recorder_.violation(&Violations::unknown_calls, "of a call nobody made: " + words);
-  }
-}
-
 void Callers::arrive(Duration now, const Arrival& arrival, CallerActions& actions) {
   recorder_.planned(arrival.planned, arrival.call_class);
   recorder_.started(now, arrival.call_class, now - arrival.planned);
@@ -126,46 +89,6 @@
   recorder_.ended(now, call.arrival.call_class, result);
 }
 
-void Callers::stands(Duration now, TryId id, std::string_view description, CallerActions& actions) {
-  if (check_ && (abandoned_.contains(id) || trying(id) != nullptr)) {
-    const std::string fault = check_description(description, static_cast<std::uint64_t>(id));
-    if (!fault.empty())
-      recorder_.violation(&Violations::foreign_descriptions,
-                          fault + ": " + hex(static_cast<std::uint64_t>(id)));
-  }
-  if (abandoned_.contains(id)) {  // it crossed the giving up: it stands, and nobody is left
-    ++crossed_;
-    actions.push_back(ReleaseTry{id, user_of(abandoned_.at(id).key)});
-    return settle(now, id, Result::given_up);
-  }
-  Call* call = trying(id);
-  if (call == nullptr) return unexpected(id, "an answer");
-  const LoadClass& c = scenario_.classes[call->arrival.call_class];
-  const std::uint64_t key = key_of(call->arrival);
-  measure(now, *call);
-  judge(now, *call, Result::stands);
-  const Duration took = now - call->arrival.planned;
-  call->worth = took <= c.aim ? c.worth : took <= c.deadline ? c.worth * c.late_worth : 0.0;
-  recorder_.earned(call->arrival.call_class, call->worth);
-  call->phase = Phase::standing;
-  ++standing_;
-  if (scenario_.released_by == ReleasedBy::caller)
-    due_.push({now + call->arrival.hold, Due::What::release, key, id});
-}
-
-void Callers::refused(Duration now, TryId id, No how, Duration later) {
-  const Result result = how == No::refused ? Result::refused : Result::failed;
-  if (abandoned_.contains(id)) return settle(now, id, Result::given_up);
-  Call* call = trying(id);
-  if (call == nullptr) return unexpected(id, "a refusal");
-  const std::uint64_t key = key_of(call->arrival);
-  measure(now, *call);
-  current_.erase(id);
-  if (redial(now, key, *call, later)) return;
-  judge(now, *call, result);
-  forget(key);
-}
-
 bool Callers::redial(Duration now, std::uint64_t key, Call& call, Duration later) {
   if (call.tries > static_cast<std::uint32_t>(scenario_.redials) || call.tries >= kMostTries) return false;
   Random random = stream(salt_, "redial", key * kMostTries + call.tries);
@@ -190,62 +113,6 @@
   due_.push({now + kForget, Due::What::forget, key, id});
 }
 
-void Callers::settle(Duration now, TryId id, Result result) {
-  const auto found = abandoned_.find(id);
-  if (found == abandoned_.end()) return;
-  const Abandoned a = found->second;
-  abandoned_.erase(found);
-  const auto call = calls_.find(a.key);
-  if (!a.last || call == calls_.end()) return;
-  judge(now, call->second, result);
-  forget(a.key);
-}
-
-void Callers::heard_give_up(Duration now, TryId id) {
-  // The word that the giving up was heard does not end the try: its final answer may still be on its way.
-  // Only the call's result no longer hangs on it.
-  const auto found = abandoned_.find(id);
-  if (found == abandoned_.end() || !found->second.last) return;
-  const auto call = calls_.find(found->second.key);
-  if (call == calls_.end()) return;
-  judge(now, call->second, Result::given_up);
-  found->second.last = false;
-  forget(found->second.key);
-}
-
-void Callers::released(Duration now, TryId id, bool cut) {
-  const auto found = current_.find(id);
-  if (found == current_.end()) {
-    if (!ever_made(id)) unexpected(id, "a release");
-    return;  // it crossed ours
-  }
-  const std::uint64_t key = found->second;
-  Call& call = calls_.at(key);
-  if (call.phase != Phase::standing) return unexpected(id, "a release before an answer");
-  current_.erase(found);
-  --standing_;
-  if (cut) {
-    recorder_.cut(call.arrival.call_class);
-    recorder_.earned(call.arrival.call_class, -call.worth);
-    call.worth = 0.0;
-    call.again = true;
-    if (scenario_.cut_comes_again && redial(now, key, call, Duration{})) return;
-  }
-  forget(key);
-}
-
-void Callers::lost(Duration now, TryId id) {
-  if (abandoned_.contains(id)) return settle(now, id, Result::unanswered);
-  Call* call = trying(id);
-  if (call == nullptr) return;  // no connection owns a call that stands
-  const std::uint64_t key = key_of(call->arrival);
-  measure(now, *call);
-  current_.erase(id);
-  if (redial(now, key, *call, Duration{})) return;
-  judge(now, *call, Result::unanswered);
-  forget(key);
-}
-
 Duration Callers::next_due() const { return due_.empty() ? Duration::max() : due_.top().at; }
 
 void Callers::fire(Duration now, CallerActions& actions) {
--- a/src/load/plan/callers.h
+++ b/src/load/plan/callers.h
@@ -1,12 +1,12 @@
 // What the callers of a run do: their tries, their patience, their redials, and what each call came to.
 //
 // Owns: every call from its planned instant to its end, the ids of its tries, and the judgement on what the
-//   target says (a second answer, an answer to a call nobody made, a description no centrale gave).
+//   target says (a second answer, an answer to a call nobody made, a description no endpoint gave).
 // Must never: do I/O, read a clock, or let what the target does move a planned instant.
 //
-// Told events, returns actions, as the decision module does; equal inputs give equal outputs. A try's latency
-// counts from its planned instant, so that a generator or a target that stands still cannot hide it (Tene,
-// "How NOT to Measure Latency", 2013). Threads: one at a time.
+// Takes events, returns actions, as the decision module does; equal inputs give equal outputs. A try's
+// latency counts from its planned instant, so that a generator or a target that stands still cannot hide it
+// (Tene, "How NOT to Measure Latency", 2013). Threads: one at a time.
 #pragma once
 
 #include <queue>
@@ -44,15 +44,11 @@
 using CallerAction = std::variant<PlaceTry, GiveUpTry, ReleaseTry>;
 using CallerActions = std::vector<CallerAction>;
 
-// What a stand-in centrale writes into the description of an answer, and what the generator looks for.
-std::string centrale_description(std::uint64_t call, std::string_view office, std::uint64_t number);
-// Empty: sound, and the office is named in `office`. Else: what is wrong with it.
-std::string check_description(std::string_view text, std::uint64_t call, std::string* office = nullptr);
-
+// The calls of a run.
 class Callers {
  public:
   // `salt` keeps the ids of two runs against one target apart. `users`: how many closed-loop callers the run
-  // is compared with, a connection each. `check_descriptions`: they are a stand-in centrale's.
+  // is compared with, a connection each. `check_descriptions`: they are a fake endpoint's.
   Callers(const Scenario& scenario, std::uint64_t salt, std::size_t users, Recorder& recorder,
           bool check_descriptions);
 
@@ -90,7 +86,7 @@
     bool judged = false;  // its result is counted
     double worth = 0.0;   // earned, taken back if it is cut
   };
-  // A try that its caller has given up and whose end the target has not told yet.
+  // A try that its caller has given up and whose end the target has not reported yet.
   struct Abandoned {
     std::uint64_t key = 0;
     bool last = false;  // no other try follows: the call's result waits for this
--- a/src/standin/answerer.cpp
+++ b/src/standin/answerer.cpp
@@ -6,7 +6,7 @@
 
 #include "base/asio.h"
 #include "base/json.h"
-#include "load/plan/callers.h"
+#include "load/plan/description.h"
 #include "platform/sip.h"
 #include "ws/frames.h"
 
@@ -137,7 +137,7 @@
     out.stray = every(settings_.stray_every);
     out.garbage = settings_.garbage_after > 0 && n == static_cast<std::uint64_t>(settings_.garbage_after);
     out.description =
-        every(settings_.foreign_every) ? "o=nobody" : load::centrale_description(call, "s-00000001", number);
+        every(settings_.foreign_every) ? "o=nobody" : load::endpoint_description(call, "s-00000001", number);
     return out;
   }
   static std::string sip(int status, const std::string& echoed, const std::string& more,
--- a/src/standin/centrale.cpp
+++ b/src/standin/centrale.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "load/plan/callers.h"
+#include "load/plan/description.h"
 
 namespace reeltack::standin {
 
@@ -207,7 +207,7 @@
     see(OfficeEvent::What::answered, d.call, call.from);
     link_->started(
         call.from, d.call,
-        load::centrale_description(d.call, base::office_name(ServerId{settings_.id}), call.number));
+        load::endpoint_description(d.call, base::office_name(ServerId{settings_.id}), call.number));
     if (settings_.hold > Duration{}) hold(d.call, call);
   } else if (d.work == Work::release && call.phase == Phase::ending) {
     const std::uint64_t from = call.from;
--- a/src/standin/far_end.cpp
+++ b/src/standin/far_end.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "base/asio.h"
-#include "load/plan/callers.h"
+#include "load/plan/description.h"
 #include "trunk/codec.h"
 
 namespace reeltack::standin {
@@ -258,7 +258,7 @@
         group_->answer(base::now(), call, actions);
         if (settings_.hold > Duration{}) later(settings_.hold, [this, call] { hang_up(call, false); });
       }
-      carry_out(actions, {}, load::centrale_description(call, "s-0000fa00", number), nullptr);
+      carry_out(actions, {}, load::endpoint_description(call, "s-0000fa00", number), nullptr);
     };
     if (settings_.answer_after > Duration{}) {
       later(settings_.answer_after, act);
--- a/tests/load/files_test.cpp
+++ b/tests/load/files_test.cpp
@@ -7,6 +7,7 @@
 
 #include "load/scenario_file.h"
 #include "load/trace.h"
+#include "load/trace_import.h"
 #include "standin/centrales.h"
 
 namespace reeltack::load {
--- a/tools/reeltackctl/load.cpp
+++ b/tools/reeltackctl/load.cpp
@@ -10,6 +10,7 @@
 #include "load/report.h"
 #include "load/scenario_file.h"
 #include "load/trace.h"
+#include "load/trace_import.h"
 #include "standin/centrale_log.h"
 #include "standin/centrales.h"
 
