--- a/src/standin/answerer.cpp
+++ b/src/standin/answerer.cpp
@@ -1,13 +1,17 @@
 #include "standin/answerer.h"
 
 #include <map>
-#include <set>
+#include <optional>
 #include <thread>
+#include <utility>
 
 #include "base/asio.h"
 #include "base/json.h"
 #include "load/plan/description.h"
 #include "platform/sip.h"
+#include "standin/json_text.h"
+#include "standin/pipe.h"
+#include "standin/sockets.h"
 #include "ws/frames.h"
 
 namespace reeltack::standin {
@@ -20,15 +24,7 @@
 class Answerer::World {
  public:
   explicit World(const AnswererSettings& s) : settings_(s), acceptor_(io_) {
-    const tcp::endpoint to(asio::ip::make_address(s.at.host), s.at.port);
-    try {
-      acceptor_.open(to.protocol());
-      acceptor_.set_option(tcp::acceptor::reuse_address(true));
-      acceptor_.bind(to);
-      acceptor_.listen(4096);
-    } catch (const boost::system::system_error& error) {
-      throw std::runtime_error("cannot listen on " + base::to_text(s.at) + ": " + error.code().message());
-    }
+    listen(acceptor_, s.at);
     accept();
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -38,20 +34,19 @@
   }
   void start_script() {
     asio::post(io_, [this] {
-      const auto at = [this](Duration when, auto task) {
-        if (when <= Duration{}) return;
-        auto timer = std::make_shared<asio::steady_timer>(io_, when);
-        timer->async_wait([timer, task](const error_code& error) {
-          if (!error) task();
-        });
+      const auto at = [this](Duration when, std::function<void()> task) {
+        if (when > Duration{}) later(io_, when, std::move(task));
       };
       // It stands still as a process that is stopped does: the whole thread, sockets and all.
       if (settings_.pause_for > Duration{})
         at(settings_.pause_at, [this] { std::this_thread::sleep_for(settings_.pause_for); });
       at(settings_.silent_from, [this] { silent_ = true; });
-      at(settings_.deaf_from, [this] { deaf_ = true; });
+      at(settings_.deaf_from, [this] {
+        deaf_ = true;
+        for (const auto& [id, c] : connections_) c.pipe->stop_reading();
+      });
       at(settings_.reset_at, [this] {
-        for (const auto& c : std::set<std::shared_ptr<Connection>>(connections_)) c->reset();
+        for (const auto& [id, c] : connections_) c.pipe->reset();
         connections_.clear();
       });
     });
@@ -59,54 +54,9 @@
   std::atomic<std::uint64_t> set_ups{0}, given_up{0}, released{0};
 
  private:
-  struct Connection : std::enable_shared_from_this<Connection> {
-    Connection(World& w, tcp::socket s) : world(w), socket(std::move(s)) {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-    }
-    void read() {
-      if (world.deaf_) return;
-      in.resize(held + 65536);
-      socket.async_read_some(asio::buffer(in.data() + held, in.size() - held),
-                             [self = shared_from_this()](const error_code& error, std::size_t n) {
-                               if (error) return self->end();
-                               self->held += n;
-                               const std::size_t used =
-                                   self->take(std::string_view(self->in).substr(0, self->held));
-                               if (used == std::string_view::npos) return self->end();
-                               self->in.erase(0, used);
-                               self->held -= used;
-                               self->flush();
-                               self->read();
-                             });
-    }
-    void flush() {
-      if (!sending.empty() || out.empty()) return;
-      sending.swap(out);
-      asio::async_write(socket, asio::buffer(sending),
-                        [self = shared_from_this()](const error_code& error, std::size_t) {
-                          self->sending.clear();
-                          if (!error) self->flush();
-                        });
-    }
-    void end() {
-      error_code ignored;
-      socket.close(ignored);
-      world.connections_.erase(shared_from_this());
-    }
-    void reset() {
-      error_code ignored;
-      socket.set_option(asio::socket_base::linger(true, 0), ignored);
-      socket.close(ignored);
-    }
-    std::size_t take(std::string_view text) {
-      if (!world.settings_.websocket) return world.take_sip(*this, text);
-      return world.take_ws(*this, text);
-    }
-    World& world;
-    tcp::socket socket;
-    std::string in, out, sending;
-    std::size_t held = 0;
+  struct Connection {
+    std::shared_ptr<Pipe> pipe;
+    std::string out;  // answers to what is being taken
     bool shaken = false;
     ws::Assembler assembler;
   };
@@ -114,12 +64,25 @@
   void accept() {
     acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
       if (error) return;
-      auto c = std::make_shared<Connection>(*this, std::move(socket));
-      connections_.insert(c);
-      c->read();
+      begin(std::make_shared<Pipe>(std::move(socket), ++ids_));
       accept();
     });
   }
+  void begin(const std::shared_ptr<Pipe>& pipe) {
+    const std::uint64_t id = pipe->id();
+    connections_[id].pipe = pipe;
+    if (deaf_) pipe->stop_reading();
+    pipe->begin([this, id](std::string_view text, std::optional<Time> /*arrived*/) { return take(id, text); },
+                [this, id] { connections_.erase(id); });
+  }
+  std::size_t take(std::uint64_t id, std::string_view text) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return Pipe::kBroken;
+    Connection& c = found->second;
+    const std::size_t used = settings_.websocket ? take_ws(c, text) : take_sip(c, text);
+    if (used != Pipe::kBroken && !c.out.empty()) c.pipe->write(std::exchange(c.out, {}));
+    return used;
+  }
   // What to do with a set-up: how many answers, and of which kind.
   struct Verdict {
     bool refuse = false;
@@ -152,7 +115,7 @@
       std::size_t n = 0;
       const auto parsed = platform::parse_sip(text.substr(used), m, n);
       used += n;
-      if (parsed == platform::Parsed::malformed) return std::string_view::npos;
+      if (parsed == platform::Parsed::malformed) return Pipe::kBroken;
       if (parsed == platform::Parsed::more) return used;
       if (m.method.empty() || m.method == "ACK") continue;
       const std::string* id = m.header("Call-ID");
@@ -181,7 +144,7 @@
       const ws::Handshake h = ws::read_handshake(text, {"/calls"}, {});
       c.out += h.answer;
       if (h.result == ws::Handshake::Result::more) return 0;
-      if (h.result == ws::Handshake::Result::rejected) return std::string_view::npos;
+      if (h.result == ws::Handshake::Result::rejected) return Pipe::kBroken;
       c.shaken = true;
       used = h.used;
     }
@@ -189,16 +152,13 @@
       std::size_t n = 0;
       const auto message = c.assembler.next(text.substr(used), n);
       used += n;
-      if (!message) return c.assembler.fault() == 0 ? used : std::string_view::npos;
-      if (message->kind == ws::Message::Kind::close) return std::string_view::npos;
+      if (!message) return c.assembler.fault() == 0 ? used : Pipe::kBroken;
+      if (message->kind == ws::Message::Kind::close) return Pipe::kBroken;
       if (message->kind == ws::Message::Kind::text) hear(c, base::Json::parse(message->payload));
     }
   }
   void hear(Connection& c, const base::Json& json) {
-    const auto text = [&json](const char* key) {
-      const base::Json* field = json.find(key);
-      return field == nullptr || field->string() == nullptr ? std::string() : *field->string();
-    };
+    const auto text = [&json](const char* key) { return text_of(json, key); };
     const std::string type = text("type");
     if (type == "give-up") ++given_up;
     if (type == "release") ++released;
@@ -221,7 +181,8 @@
   const AnswererSettings settings_;
   asio::io_context io_{1};
   tcp::acceptor acceptor_;
-  std::set<std::shared_ptr<Connection>> connections_;
+  std::map<std::uint64_t, Connection> connections_;
+  std::uint64_t ids_ = 0;
   std::map<std::uint64_t, int> refusals_;
   bool silent_ = false;
   bool deaf_ = false;
--- a/src/standin/link.h
+++ b/src/standin/link.h
@@ -1,7 +1,8 @@
-// A centrale's wires: platform JSON lines accepted, or call control's /centrales dialled.
+// A fake endpoint's link to controllers: platform JSON lines accepted, or call control's /centrales connected
+// to.
 //
-// Owns: the sockets of one centrale and the spelling of its messages.
-// Must never: decide what a centrale answers.
+// Owns: the sockets of one endpoint and the spelling of its messages.
+// Must never: decide what an endpoint answers.
 #pragma once
 
 #include <functional>
@@ -15,7 +16,7 @@
 
 namespace reeltack::standin {
 
-// What a controller said to a centrale.
+// What an endpoint hears of a controller.
 struct Heard {
   enum class What { set_up, give_up_or_release, lost } what{};
   std::uint64_t call = 0;
@@ -25,9 +26,10 @@
   bool arrived_exactly = false;   // nothing came after it in what was read, so that it is its own time
 };
 
+// Lives on the thread of its io_context.
 class Link {
  public:
-  using Told = std::function<void(const Heard&)>;
+  using Notify = std::function<void(const Heard&)>;
   virtual ~Link() = default;
   // To the connection of the set-up, else to any open one, else to the next that comes.
   virtual void started(std::uint64_t from, std::uint64_t call, const std::string& description) = 0;
@@ -37,9 +39,12 @@
   virtual void die() = 0;              // resets every connection and takes no more
 };
 
-std::unique_ptr<Link> listen_lines(boost::asio::io_context& io, const base::Address& at, Link::Told told,
+// Throws std::runtime_error where the address is taken. `greeting`: the first line on each connection.
+std::unique_ptr<Link> listen_lines(boost::asio::io_context& io, const base::Address& at, Link::Notify notify,
                                    std::function<std::string()> greeting);
-std::unique_ptr<Link> dial_ws(boost::asio::io_context& io, const CentraleSettings& centrale, Link::Told told);
+std::unique_ptr<Link> connect_websocket(boost::asio::io_context& io, const CentraleSettings& endpoint,
+                                        Link::Notify notify);
+// The figures of a load report as the platform writes them.
 std::string load_figures(std::uint32_t free, std::uint32_t lines, double util, std::size_t queue);
 
 }  // namespace reeltack::standin
--- a/src/standin/pipe.cpp
+++ b/src/standin/pipe.cpp
@@ -67,6 +67,7 @@
 }
 
 void Pipe::read() {
+  if (!reading_) return;
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
     if (error || !self->read_now()) return self->end();
     self->read();
--- a/src/standin/pipe.h
+++ b/src/standin/pipe.h
@@ -1,4 +1,4 @@
-// A connection of a fake endpoint, and when what it reads has come.
+// The buffered connection of a fake, and when what it reads has come.
 //
 // Owns: the socket, what was read and is not yet taken, and what is still to be written.
 // Must never: know a message.
@@ -18,6 +18,7 @@
 
 namespace reeltack::standin {
 
+// Calls `take` with all that was read and not yet taken, and `ended` once when the connection has ended.
 class Pipe : public std::enable_shared_from_this<Pipe> {
  public:
   static constexpr std::size_t kBroken = std::string_view::npos;
@@ -31,6 +32,8 @@
   // Nothing is written while silent. It reads on: the log must tell when a message came, not when it was
   // looked at.
   void hold(bool silent);
+  // Reads no more, so that what comes fills the buffers of the sockets.
+  void stop_reading() { reading_ = false; }
   void reset();
   [[nodiscard]] std::uint64_t id() const { return id_; }
 
@@ -50,6 +53,7 @@
   std::string sending_;
   bool writing_ = false;
   bool silent_ = false;
+  bool reading_ = true;
   bool over_ = false;
 };
 
