Let an address that was read be moved out, as clang-tidy asks

Observed: clang-tidy refuses src/config/controllers.cpp:126 (performance-no-automatic-move): `out` was const. Change: it is not const. No behaviour changes.

--- a/src/config/controllers.cpp
+++ b/src/config/controllers.cpp
@@ -122,7 +122,7 @@
   }
   // Where others are to send to: a port of its own.
   std::optional<base::Address> parsed(const std::string& text, const std::string& pointer) {
-    const auto out = parse_address(text, pointer, kWantedAddress);
+    auto out = parse_address(text, pointer, kWantedAddress);
     if (!out || out->port != 0) return out;
     fail(pointer, std::string("must be ") + kWantedAddress + ", not '" + text + "'");
     return std::nullopt;
