Link the test of partial writes with all replaced calls

Observed: partial_write_tests does not link once the replaced system calls stand in three files (undefined references to __wrap_close and others). Change: it links ${fault_sources}. Result: builds.

--- a/tests/crossings/targets.cmake
+++ b/tests/crossings/targets.cmake
@@ -27,7 +27,7 @@
 gtest_discover_tests(crossings_tests PROPERTIES LABELS node TIMEOUT 120)
 
 # The same where a system call moves less than it was asked to.
-add_executable(partial_write_tests system_calls/partial_write_test.cpp system_calls/faults.cpp)
+add_executable(partial_write_tests system_calls/partial_write_test.cpp ${fault_sources})
 target_include_directories(partial_write_tests PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
 target_link_libraries(partial_write_tests PRIVATE reeltack_platform GTest::gtest GTest::gtest_main)
 target_link_options(partial_write_tests PRIVATE ${replaced_calls})
