Split the trunk group by responsibility

Observed: src/trunk/trunk.cpp had grown to 495 lines and held five jobs: the group's start and end, the connection's thread, the core's calls, the group's actions and the operators' commands. Ruled out: a change of behaviour. The functions were cut from the file by a script; only names local to them are new. To blame: all of src/trunk/trunk.cpp. Change: trunk.cpp keeps the start and the end; connection.cpp connects and shakes hands; serving.cpp serves a connection; calls.cpp is for the core, maintenance.cpp for operators; group_actions.cpp does what the group decides; causes.h names the Q.850 causes. trunk.h says where each part is. Constants and locals whose names were withdrawn are renamed (turn, dial, again, why, said, told, greet).

--- a/src/trunk/trunk.h
+++ b/src/trunk/trunk.h
@@ -1,5 +1,5 @@
-// A trunk group as the core knows it: an office for calls that go out over it, a front for those that come
-// in.
+// A trunk group as the core knows it: an endpoint for calls that go out over it, a caller for those that
+// come in.
 //
 // Owns: the one connection of the group, its handshake, the state of the circuits (circuits::Group) and what
 //   belongs to the calls on them.
@@ -8,9 +8,14 @@
 //
 // One thread a group reads, writes and keeps the time. The core's calls take a lock for a few microseconds,
 // leave what is to be written, and wake it. Off on the platform, which has no such lines.
+//
+// Where its parts are: trunk.cpp starts and ends it; connection.cpp is the thread, which connects and shakes
+// hands; serving.cpp serves a connection; calls.cpp is for the core, maintenance.cpp for operators;
+// group_actions.cpp does what the group decides.
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <mutex>
 #include <string>
 #include <unordered_map>
@@ -64,6 +69,8 @@
   void over(CallId call) override;
 
  private:
+  static constexpr Duration kTick = std::chrono::milliseconds(100);  // the longest wait for an event
+
   struct Words {  // what goes with the message that the group will send for this call
     SetUpWords set_up;
     Time give_up{};  // when the caller of the set-up waits no longer
@@ -72,7 +79,7 @@
   };
   void run();
   net::Fd connect();
-  bool greet(const net::Fd& fd, net::Buffer& buffer);
+  bool handshake(const net::Fd& fd, net::Buffer& buffer);
   void serve(const net::Fd& fd, net::Buffer& buffer);
   bool read_frames(net::Buffer& buffer);  // false: the connection must end
   void idle(Time until);                  // keeps the group's time while there is no connection
