Split the reading of a zone's update from its service

Ruled out: a change of behaviour. To blame: all of src/dns/updates.cpp. Change: update_message.{h,cpp} read, check and carry out one update; updates.{h,cpp} keep the service.

--- a/src/dns/updates.h
+++ b/src/dns/updates.h
@@ -1,41 +1,24 @@
 // Dynamic updates (RFC 2136) over TCP, to the one zone that is served.
 //
 // Owns: the zone once it is loaded, each update as a whole or not at all, the zone's file, and what the
-// office
-//   list hears of it. An office that leaves the zone drains. An update is confirmed once the zone's file is
-//   durable, and refused (SERVFAIL) where it cannot be written; the zone goes on as it was.
+//   endpoint list hears of it. An endpoint that leaves the zone drains. An update is confirmed once the
+//   zone's file is durable, and refused (SERVFAIL) where it cannot be written; the zone goes on as it was.
+//   How one update is read and carried out: dns/update_message.h.
 // Must never: answer queries, take half an update, or take one from another machine.
 #pragma once
 
 #include "base/outage.h"
 #include "core/office_list.h"
+#include "dns/update_message.h"
 #include "dns/zone.h"
 #include "net/door.h"
 #include "net/net.h"
 
 namespace reeltack::dns {
 
-// RFC 2136, 2.2: response codes.
-enum Rcode {
-  kNoError = 0,
-  kFormErr = 1,
-  kServFail = 2,
-  kNxDomain = 3,
-  kNotImp = 4,
-  kRefused = 5,
-  kYxDomain = 6,
-  kYxRrset = 7,
-  kNxRrset = 8,
-  kNotAuth = 9,
-  kNotZone = 10
-};
-
-// Carries out one update on the zone; unless the code is kNoError the zone is as it was.
-int apply_update(Zone& zone, std::string_view message, bool& changed);
-
 class Updates {
  public:
-  // The zone's offices are told at once. `file`: where changes are kept; empty: nowhere.
+  // The zone's endpoints are notified at once. `file`: where changes are kept; empty: nowhere.
   Updates(core::OfficeList& list, Zone zone, std::string service, std::string file);
   void open(const net::Address& at) { door_.open(at); }  // throws std::runtime_error
   void close_all() { door_.close_all(); }
