Wake a trunk's thread again where a signal interrupts the write

To blame: Trunk::wake dropped a wake whose write(2) was interrupted; the thread found the work up to 100 ms later, and the module refused the call that came behind. Change: it writes again on EINTR, as the event loop's bell does.

--- a/src/trunk/trunk.cpp
+++ b/src/trunk/trunk.cpp
@@ -44,8 +44,10 @@
 
 void Trunk::log(const std::string& text) const { base::log_line("trunk " + settings_.name + ": " + text); }
 void Trunk::wake() {
+  if (!wake_write_) return;
   const char one = 1;
-  if (wake_write_) static_cast<void>(!net::sys::write(wake_write_.get(), &one, 1));
+  // EAGAIN: the pipe is full, so that the thread is about to wake.
+  while (net::sys::write(wake_write_.get(), &one, 1) < 0 && errno == EINTR) continue;
 }
 void Trunk::drain_wakes() {
   char bytes[64];
