End the fake member's link before what its thread calls in the fleet link's fault test

Observed: three of the seven FleetLinkShortage tests failed under the address sanitizer: heap-use-after-free in Member::react on the link's thread, the map freed by the test's thread in ~Member. Ruled out: the program's link: the callback and the maps are the test's. To blame: tests/system_calls/fleet_link_test.cpp, Member: link_ stood before the maps and so was destroyed after them. Change: link_ is the last member, whose end joins the thread first. Result: 7 of 7 pass under the address sanitizer.

--- a/tests/system_calls/fleet_link_test.cpp
+++ b/tests/system_calls/fleet_link_test.cpp
@@ -99,12 +99,12 @@
   const bool patient_;
   LinkSettings settings_;
   Script script_;
-  std::unique_ptr<Link> link_;
   std::uint64_t next_ = 0;
   std::mutex lock_;
   std::map<std::uint64_t, int> heard_;
   std::map<Conversation, int> said_, closed_;
   std::size_t answers_ = 0;
+  std::unique_ptr<Link> link_;  // ends first: its thread calls react()
 };
 
 void play(const std::function<void()>& begin, bool undisturbed) {
