Match a message to its attempt by one rule on both fronts

Cause: an office's messages name the call, not the attempt. ws/endpoints.cpp, handle_call_message, took an "ended" for the end of whatever attempt was open at that centrale. A late one of the attempt given up before ended the present one, and the call went elsewhere at once. The platform's front had a guard of its own.

Change: membership/open_attempt.h decides which attempt a message belongs to, and both fronts ask it. An end that may be the earlier attempt's ends the present one as broken: it is given up in writing and the release guard is awaited. A message before the present attempt was written is the earlier one's; on WebSocket an answer of that kind left a caller with a call that nobody held.

Why this works: the guard covers each message that can have been sent before the endpoint read the give-up, for as long as the give-up may be unread.

--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -32,9 +32,10 @@
   {
     const std::lock_guard hold(lock_);
     if (reach_.gone() || finishing_) return false;
-    Open& open = open_[set_up.call] = {set_up, class_name, ++tags_, false};
+    Open open{set_up, class_name, ++tags_, membership::OpenAttempt(set_up.attempt)};
+    const auto added = open_.insert_or_assign(set_up.call, std::move(open)).first;
     line = line_;
-    if (line) queue(line, set_up.call, open);
+    if (line) queue(line, set_up.call, added->second);
   }
   line ? pump(line) : loop_.wake(handler_id_);  // dial at once
   return true;
@@ -45,12 +46,12 @@
   {
     const std::lock_guard hold(lock_);
     const auto found = open_.find(call);
-    if (found == open_.end() || found->second.set_up.attempt != attempt) return;
+    if (found == open_.end() || found->second.attempt.number() != attempt) return;
     const Open open = std::move(found->second);
     open_.erase(found);
     line = line_;
     if (!line) return;
-    if (!open.left) {  // not written, and now removed
+    if (!open.attempt.is_transmitted()) {  // not written, and now removed
       line->outbox.withdraw(open.tag);
       return;
     }
@@ -74,8 +75,8 @@
   for (auto at = open_.begin(); at != open_.end();) {
     const auto next = std::next(at);
     const Open& open = at->second;
-    if (!open.left && (!line_ || line_->outbox.withdraw(open.tag))) {
-      core_.attempt_failed(at->first, open.set_up.attempt, AttemptOutcome::not_sent);
+    if (!open.attempt.is_transmitted() && (!line_ || line_->outbox.withdraw(open.tag))) {
+      core_.attempt_failed(at->first, open.attempt.number(), AttemptOutcome::not_sent);
       open_.erase(at);
     }
     at = next;
@@ -141,7 +142,7 @@
   const std::int64_t left_ms = whole_ms_left(open.set_up.expires_at, net::now());
   const bool queued =
       line->outbox.push(start_line(open.set_up, open.class_name, left_ms), open.tag,
-                        [this, call, attempt = open.set_up.attempt, on = line.get(),
+                        [this, call, attempt = open.attempt.number(), on = line.get(),
                          left_ms](std::string& text) { return may_leave(call, attempt, on, left_ms, text); });
   if (!queued) line->fd.shut();  // the loop reports the open set-ups
 }
@@ -153,7 +154,7 @@
   {
     const std::lock_guard hold(lock_);
     const auto found = open_.find(call);
-    if (on != line_.get() || found == open_.end() || found->second.set_up.attempt != attempt) return false;
+    if (on != line_.get() || found == open_.end() || found->second.attempt.number() != attempt) return false;
     const Time at = net::now();
     const Open& open = found->second;
     const std::int64_t left_ms = whole_ms_left(open.set_up.expires_at, at);
@@ -163,9 +164,8 @@
       if (left_ms < sent_ms) text = start_line(open.set_up, open.class_name, left_ms);
       if (reach_.set_up_sent(at)) wake_if_due_earlier();
       core_.attempt_transmitted();
-      // The release of an earlier attempt must not be repeated once this one has arrived.
-      if (attempt > 0) found->second.follows_give_up = releases_.acknowledge(call);
-      return found->second.left = true;
+      found->second.attempt.transmitted(call, releases_);
+      return true;
     }
     open_.erase(found);
   }
@@ -227,24 +227,4 @@
   if ((line_ ? second_dial_at() : dial_at()) < event_by_) loop_.wake(handler_id_);
 }
 
-// A call may have been given up here and sent again. An answer to the earlier attempt establishes the call as
-// well as one to the present attempt. An end that may belong to the earlier attempt proves nothing about the
-// present one, which is given up in turn.
-void OfficeLink::take(std::string_view text) {
-  OfficeLine line = read_line(text);
-  using Verb = OfficeLine::Verb;
-  if (line.verb == Verb::load) return core_.load_reported(id_, line.report);
-  if (line.verb == Verb::nothing) return;
-  if (const auto found = open_.find(line.call); found != open_.end()) {
-    if (!found->second.left) return;  // of an earlier attempt, whose end is written or pending
-    if (line.verb == Verb::finish && found->second.follows_give_up)
-      return core_.attempt_failed(line.call, found->second.set_up.attempt, AttemptOutcome::reset);
-    open_.erase(found);
-  }
-  if (line.verb == Verb::finish)
-    return core_.office_released({id_, line.call, line.cause, std::move(line.note), line.report});
-  if (line.report.free_lines >= 0.0) core_.load_reported(id_, line.report);
-  core_.office_answered(id_, line.call, std::move(line.blob));
-}
-
 }  // namespace reeltack::platform
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "membership/open_attempt.h"
 #include "membership/pending_releases.h"
 #include "membership/reachability.h"
 #include "net/buffers.h"
@@ -26,6 +27,8 @@
 
 namespace reeltack::platform {
 
+struct OfficeLine;
+
 class OfficeLink final : public net::EventHandler, public std::enable_shared_from_this<OfficeLink> {
  public:
   OfficeLink(core::Core& core, net::Loop& loop, ServerId id, Duration dial_limit)
@@ -65,9 +68,8 @@
   struct Open {
     core::SetUp set_up;
     std::string class_name;
-    std::uint64_t tag = 0;
-    bool left = false;
-    bool follows_give_up = false;  // an earlier attempt of the call was given up here, perhaps not read yet
+    std::uint64_t tag;
+    membership::OpenAttempt attempt;
   };
   void pump(const std::shared_ptr<Line>& line);
   bool may_leave(CallId call, std::uint32_t attempt, const Line* on, std::int64_t sent_ms, std::string& text);
@@ -93,6 +95,8 @@
   void drop(Rest rest);
   bool read();
   void take(std::string_view text);
+  void take_answer(const OfficeLine& line);
+  void take_end(const OfficeLine& line);
   // The line in use, or one that came up beside it.
   enum class Leaves { used, beside };
   void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -45,7 +45,7 @@
   net::log_line("endpoint " + net::office_name(id_) +
                 ": no port, route, descriptor or memory on this host for a connection to it");
   for (const auto& [call, open] : std::exchange(open_, {}))
-    core_.attempt_failed(call, open.set_up.attempt, AttemptOutcome::not_sent);
+    core_.attempt_failed(call, open.attempt.number(), AttemptOutcome::not_sent);
 }
 
 void OfficeLink::check_dial() {
@@ -73,7 +73,7 @@
     core_.office_lost(id_);
   }
   for (const auto& [call, open] : failed_set_ups)
-    core_.attempt_failed(call, open.set_up.attempt, AttemptOutcome::connect_failed);
+    core_.attempt_failed(call, open.attempt.number(), AttemptOutcome::connect_failed);
 }
 
 void OfficeLink::up(net::Fd fd) {
@@ -111,10 +111,11 @@
   for (auto at = open_.begin(); at != open_.end();) {
     const auto next = std::next(at);
     // An answer that crosses the end would leave the call established at the office with no caller.
-    if (at->second.left && !outdated_) pending_releases_.emplace_back(at->first, finish_line(at->first));
-    if (at->second.left || !reach_.ready()) {
-      core_.attempt_failed(at->first, at->second.set_up.attempt,
-                           at->second.left ? AttemptOutcome::reset : AttemptOutcome::not_sent);
+    const bool transmitted = at->second.attempt.is_transmitted();
+    if (transmitted && !outdated_) pending_releases_.emplace_back(at->first, finish_line(at->first));
+    if (transmitted || !reach_.ready()) {
+      core_.attempt_failed(at->first, at->second.attempt.number(),
+                           transmitted ? AttemptOutcome::reset : AttemptOutcome::not_sent);
       open_.erase(at);
     }
     at = next;
--- a/src/platform/link_leaving.cpp
+++ b/src/platform/link_leaving.cpp
@@ -98,18 +98,6 @@
   }
 }
 
-// Set-ups open on that connection were given up with it and may have been sent again. So an answer only shows
-// that the call is established there, and must be released.
-void OfficeLink::handle_late_line(std::string_view text) {
-  OfficeLine line = read_line(text);
-  using Verb = OfficeLine::Verb;
-  if (line.verb == Verb::load) return core_.load_reported(id_, line.report);
-  if (line.verb == Verb::nothing || open_.contains(line.call)) return;
-  if (line.verb == Verb::finish)
-    return core_.office_released({id_, line.call, line.cause, std::move(line.note), line.report});
-  core_.office_answered(id_, line.call, std::move(line.blob));
-}
-
 // Sends a release on the line or queues it for the next; it is held until the office must have read it.
 bool OfficeLink::send_release(CallId call, std::string text) {
   if (!line_ || !line_->outbox.push(text)) {
--- a/src/ws/endpoints.cpp
+++ b/src/ws/endpoints.cpp
@@ -58,15 +58,39 @@
     return;
   }
   const CallId call{*number};
+  ended ? handle_ended(id, call, static_cast<int>(*cause), message) : handle_started(id, call, message);
+}
+
+void Frontend::handle_started(ServerId id, CallId call, const Json& message) {
+  {
+    const std::lock_guard hold(lock_);
+    auto& attempts = endpoints_[id].attempts;
+    const auto found = attempts.find(call);
+    if (found != attempts.end()) {
+      if (!found->second.owns_answer()) return;
+      attempts.erase(found);
+    }
+  }
+  core_.office_answered(id, call, text_field(message, "description"));
+}
+
+void Frontend::handle_ended(ServerId id, CallId call, int cause, const Json& message) {
+  using EndMeaning = membership::OpenAttempt::EndMeaning;
   {
     const std::lock_guard hold(lock_);
     Endpoint& endpoint = endpoints_[id];
-    endpoint.attempts.erase(call);
-    if (ended) endpoint.releases.acknowledge(call);
+    endpoint.releases.acknowledge(call);
+    const auto found = endpoint.attempts.find(call);
+    if (found != endpoint.attempts.end()) {
+      const EndMeaning meaning = found->second.end_meaning();
+      if (meaning == EndMeaning::earlier) return;
+      // Stays open until the core gives it up, which tells the endpoint.
+      if (meaning == EndMeaning::ambiguous)
+        return core_.attempt_failed(call, found->second.number(), AttemptOutcome::reset);
+      endpoint.attempts.erase(found);
+    }
   }
-  if (!ended) return core_.office_answered(id, call, text_field(message, "description"));
-  core_.office_released(
-      {id, call, static_cast<int>(*cause), text_field(message, "note"), load_report(message)});
+  core_.office_released({id, call, cause, text_field(message, "note"), load_report(message)});
 }
 
 // Makes the last check as the set-up leaves the queue: a drain still prevents one of which no byte is sent.
@@ -75,15 +99,13 @@
     const std::lock_guard hold(lock_);
     Endpoint& endpoint = endpoints_[set_up.office];
     const auto found = endpoint.attempts.find(set_up.call);
-    if (found == endpoint.attempts.end() || found->second.number != set_up.attempt) return false;
+    if (found == endpoint.attempts.end() || found->second.number() != set_up.attempt) return false;
     const ConnectionPtr connection = endpoint.connection.lock();
     const std::int64_t left_ms = whole_ms_left(set_up.expires_at);
     if (connection && connection->accepts_output() && endpoint.entry.entry.state == ServerState::ready &&
         left_ms > 0) {
       if (left_ms < sent_ms) message = text_frame(set_up_message(set_up, left_ms));
-      found->second.left = true;
-      // The release of an earlier attempt must not be repeated: it would end this one.
-      endpoint.releases.acknowledge(set_up.call);
+      found->second.transmitted(set_up.call, endpoint.releases);
       core_.attempt_transmitted();
       return true;
     }
@@ -106,7 +128,7 @@
   const std::string message = set_up_message(set_up, left_ms);
   const std::lock_guard hold(lock_);
   Endpoint& endpoint = endpoints_[set_up.office];
-  endpoint.attempts[set_up.call] = {set_up.attempt};
+  endpoint.attempts.insert_or_assign(set_up.call, membership::OpenAttempt(set_up.attempt));
   const ConnectionPtr connection = endpoint.connection.lock();
   const auto leaves = [this, set_up, left_ms](std::string& leaving) {
     return may_leave(set_up, left_ms, leaving);
@@ -121,10 +143,10 @@
   Endpoint& endpoint = endpoints_[office];
   const auto found = endpoint.attempts.find(call);
   if (found == endpoint.attempts.end()) return;
-  const bool left = found->second.left;
+  const bool transmitted = found->second.is_transmitted();
   endpoint.attempts.erase(found);
   const ConnectionPtr connection = endpoint.connection.lock();
-  if (!left || !connection) return;  // a queued set-up is dropped by may_leave()
+  if (!transmitted || !connection) return;  // a queued set-up is dropped by may_leave()
   // Recorded for resending: if lost with the connection, the endpoint would hold a call without a caller.
   endpoint.releases.add(call, release_message(call), net::now());
   // An endpoint that does not read would receive this too late: cutting the connection gives up its open
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -13,6 +13,7 @@
 #include "base/json.h"
 #include "core/core.h"
 #include "core/office_list.h"
+#include "membership/open_attempt.h"
 #include "membership/pending_releases.h"
 #include "net/connection_listener.h"
 
@@ -55,14 +56,10 @@
  private:
   friend class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
-  struct Attempt {
-    std::uint32_t number = 0;
-    bool left = false;  // the set-up was written; otherwise it is queued on its connection
-  };
   struct Endpoint {
     core::OfficeEntry entry;
     std::weak_ptr<Connection> connection;
-    std::map<CallId, Attempt> attempts;
+    std::map<CallId, membership::OpenAttempt> attempts;
     membership::PendingReleases releases;                          // sent on the connection
     std::vector<std::pair<CallId, std::string>> pending_releases;  // releases for the next connection
   };
@@ -72,6 +69,8 @@
   void from_endpoint(const ConnectionPtr& from, const net::Json& message);
   void change_state(const ConnectionPtr& from, ServerId id, ServerState state);
   void handle_call_message(const ConnectionPtr& from, ServerId id, const net::Json& message);
+  void handle_started(ServerId id, CallId call, const net::Json& message);
+  void handle_ended(ServerId id, CallId call, int cause, const net::Json& message);
   void register_endpoint(const ConnectionPtr& from, const net::Json& message);
   // False: the endpoint has another connection, or the connection another endpoint.
   bool bind_connection(const ConnectionPtr& from, const std::string& name, const core::OfficeEntry& entry);
--- a/src/ws/registrations.cpp
+++ b/src/ws/registrations.cpp
@@ -88,7 +88,7 @@
 // A client's calls go on. An endpoint's unanswered set-ups have failed, and it gets no new ones until it
 // returns.
 void Frontend::endpoint_lost(const ConnectionPtr& connection) {
-  std::map<CallId, Attempt> attempts;
+  std::map<CallId, membership::OpenAttempt> attempts;
   core::OfficeEntry entry;
   {
     const std::lock_guard hold(lock_);
@@ -103,13 +103,13 @@
       endpoint.pending_releases.push_back(std::move(release));
     // The endpoint may have answered, and if the answer was lost it would hold the call for ever.
     for (const auto& [call, attempt] : attempts) {
-      if (attempt.left) endpoint.pending_releases.emplace_back(call, release_message(call));
+      if (attempt.is_transmitted()) endpoint.pending_releases.emplace_back(call, release_message(call));
     }
   }
   list_.update(core::Source::registered, false, {entry});
   for (const auto& [call, attempt] : attempts)
-    core_.attempt_failed(call, attempt.number,
-                         attempt.left ? AttemptOutcome::reset : AttemptOutcome::not_sent);
+    core_.attempt_failed(call, attempt.number(),
+                         attempt.is_transmitted() ? AttemptOutcome::reset : AttemptOutcome::not_sent);
   // An established call is not tied to a connection, but an endpoint that does not return has lost its calls.
   core_.run_at(net::now() + kReconnectTimeout, [this, entry] { remove_if_disconnected(entry); });
 }
--- a/tests/crossings/websocket_endpoint_test.cpp
+++ b/tests/crossings/websocket_endpoint_test.cpp
@@ -72,6 +72,81 @@
   expect_nothing(next);
 }
 
+// Guards against a call that is out at two endpoints: a late end of the attempt given up before, which the
+// endpoint sent as full, was taken for the end of the present attempt at that endpoint.
+TEST_F(WebSocketEndpoint, LateEndOfTheAttemptBeforeDoesNotEndThePresentOne) {
+  run_endpoints(usual_settings());
+  WebSocketPeer& first = connect_endpoint(kFirst);
+  request(kCall, 8s);
+  expect_set_up(first, kCall);
+  core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
+  settle(*core_);
+  expect_message(first, {"give-up", id_text(kCall)});
+  settle_at(*core_, base::now() + 2 * kGuard);
+  expect_set_up(first, kCall);
+  WebSocketPeer& second = connect_endpoint(kSecond);
+  first.send(about("ended", kCall, R"(,"cause":34,"note":"swamped")"));
+  settle(*core_);
+  second.step();
+  expect_nothing(second);
+  expect_message(first, {"give-up", id_text(kCall)});
+  EXPECT_TRUE(callers_.answers_to(kCall).empty());
+}
+
+// An attempt that was given up, and the next one of its call, which waits for the endpoint to read.
+class WebSocketWaitingSetUp : public WebSocketEndpoint {
+ protected:
+  void SetUp() override {
+    run_endpoints(usual_settings());
+    endpoint_ = &connect_endpoint(kFirst);
+    request(kCall, 8s);
+    expect_set_up(*endpoint_, kCall);
+    core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
+    settle(*core_);
+    expect_message(*endpoint_, {"give-up", id_text(kCall)});
+    fill_connection();
+    settle_at(*core_, base::now() + 2 * kGuard);
+  }
+  // The endpoint reads what filled its connection, and then has the set-up.
+  void expect_waiting_set_up() {
+    for (; fillers_ > 0; --fillers_) {
+      endpoint_->step();
+      expect_message(*endpoint_, {"filler"});
+    }
+    expect_set_up(*endpoint_, kCall);
+  }
+  WebSocketPeer* endpoint_ = nullptr;
+
+ private:
+  // Until the kernel takes no more, which it does for a while as it moves bytes to the far end.
+  void fill_connection() {
+    const std::string filler = R"({"type":"filler","text":")" + std::string(4000, 'x') + "\"}";
+    for (int refused = 0; refused < 5;) {
+      if (endpoint_->near->blocked()) {
+        ++refused;
+        net::pause_until(net::now() + 10ms);
+        endpoint_->step();
+      } else {
+        refused = 0;
+        ++fillers_;
+        ASSERT_TRUE(endpoint_->near->send(filler));
+      }
+    }
+  }
+  int fillers_ = 0;
+};
+
+// Guards against an answer that nobody holds: the answer of the attempt given up before, which the endpoint
+// ends as it reads the give-up, was taken for that of an attempt that had not been written.
+TEST_F(WebSocketWaitingSetUp, IsNotAnsweredByTheAttemptBefore) {
+  endpoint_->send(about("started", kCall, R"(,"description":"late")"));
+  settle(*core_);
+  EXPECT_TRUE(callers_.answers_to(kCall).empty());
+  expect_waiting_set_up();
+  endpoint_->send(about("started", kCall, R"(,"description":"d")"));
+  EXPECT_TRUE(callers_.await_answer(kCall).stands);
+}
+
 // The answer lies unread as the set-up is given up: one give-up, and one release for the answer.
 TEST_F(WebSocketEndpoint, AnswerThatCrossesTheGiveUpIsReleasedOnce) {
   run_endpoints(usual_settings());
