Do not take a late refusal of an earlier attempt for the end of a standing call

Callers saw: a call that stands is told to be over (BYE with cause 34), while its office goes on holding it.

Cause: a set-up is answered late, its connection falls silent and is replaced, the call is set up again on the next one and stands. The refusal of the first attempt then comes on the connection that was left (handle_late_line), and relay_office_release took any end from that office for the end of the call, and told the office nothing.

Change: a link numbers its connections, an answer and a release say on which one they came, and the core keeps the answer's number. A cause that refuses a set-up is passed over on an earlier connection than the answer's: it concerns an attempt that was given up with that connection. Another end there, which may be the call's, ends it on both sides. The Q.850 causes of a refusal have names.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -48,7 +48,9 @@
   void query(CallId call, std::function<void(const Status&)> answer);  // `answer` runs on the core's thread
   void run_at(Time time, std::function<void()> task);  // on the core's thread, at `time` or soon after
   // For backends.
-  void office_answered(ServerId office, CallId call, std::string description);
+  // `connection`: on which the answer came.
+  void office_answered(ServerId office, CallId call, std::string description,
+                       ConnectionNumber connection = {});
   void office_released(OfficeRelease message);
   void load_reported(ServerId office, const LoadReport& report);
   void attempt_failed(CallId call, std::uint32_t attempt, AttemptOutcome outcome);
@@ -95,8 +97,9 @@
     FailureReason reason = FailureReason::none;
     std::uint32_t attempts = 0;
     std::optional<Attempt> pending;
-    ServerId office{};   // where the call is established
-    std::string answer;  // that office's description of the call
+    ServerId office{};              // where the call is established
+    ConnectionNumber connection{};  // on which that office answered
+    std::string answer;             // that office's description of the call
     std::optional<std::multimap<Time, Timer>::iterator> expiry_timer;
   };
   using Task = std::function<void()>;
@@ -115,8 +118,9 @@
   void cancel_attempt(Record& record, AttemptOutcome outcome, bool call_ended);
   void end_attempt(CallId call, std::uint32_t attempt, AttemptOutcome outcome);
   // relay.cpp
-  void relay_answer(ServerId office, CallId call, std::string description);
+  void relay_answer(ServerId office, CallId call, std::string description, ConnectionNumber connection);
   void relay_office_release(const OfficeRelease& message);
+  void relay_established_end(Record& record, const OfficeRelease& message);
   void relay_release(CallId call, const CallerFrontend& frontend);
   void relay_cancel(CallId call, const CallerFrontend& frontend);
   // call_table.cpp
--- a/src/core/inbox.cpp
+++ b/src/core/inbox.cpp
@@ -56,9 +56,10 @@
     timers_.emplace(time, Timer{Timer::Kind::task, 0, 0, std::move(task)});
   });
 }
-void Core::office_answered(ServerId office, CallId call, std::string description) {
-  post([this, office, call, d = std::move(description)]() mutable {
-    relay_answer(office, call, std::move(d));
+void Core::office_answered(ServerId office, CallId call, std::string description,
+                           ConnectionNumber connection) {
+  post([this, office, call, d = std::move(description), connection]() mutable {
+    relay_answer(office, call, std::move(d), connection);
   });
 }
 void Core::office_released(OfficeRelease message) {
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -80,6 +80,9 @@
   CallerFrontend* frontend = nullptr;
 };
 
+// The connections to an office, numbered from 1 as they came up; 0: the backend does not tell them apart.
+enum class ConnectionNumber : std::uint64_t {};
+
 // An office's message that ends an attempt or an established call.
 struct OfficeRelease {
   ServerId office{};
@@ -87,6 +90,7 @@
   int cause = 0;
   std::string note;
   LoadReport report;
+  ConnectionNumber connection{};  // on which it came
 };
 
 enum class Phase { unknown, open, established, refused, failed, cancelled, ended };
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -5,24 +5,35 @@
 namespace reeltack::core {
 namespace {
 
+// Q.850 causes by which an office refuses a set-up.
+constexpr int kUserBusy = 17;
+constexpr int kNoCircuit = 34;
+constexpr int kSwitchCongestion = 47;
+constexpr int kNeverSent = 102;
+
+// No established call ends by such a cause.
+bool refuses_set_up(int cause) {
+  return cause == kUserBusy || cause == kNoCircuit || cause == kSwitchCongestion || cause == kNeverSent;
+}
+
 AttemptOutcome outcome_of(int cause) {
   switch (cause) {
-    case 34:
+    case kNoCircuit:
       return AttemptOutcome::full;
-    case 102:
+    case kNeverSent:
       return AttemptOutcome::not_sent;
     case kTemporaryFailure:
       return AttemptOutcome::reset;
     case kNormalClearing:
       return AttemptOutcome::cancelled;
-    default:  // 17, 47 and causes that the protocol does not define
+    default:  // busy, congested, and causes that the protocol does not define
       return AttemptOutcome::busy_or_error;
   }
 }
 
 }  // namespace
 
-void Core::relay_answer(ServerId office, CallId call, std::string description) {
+void Core::relay_answer(ServerId office, CallId call, std::string description, ConnectionNumber connection) {
   Record* r = find(call);
   if (r != nullptr && r->phase == Phase::established && r->office == office) return;  // repeated
   if (r == nullptr || r->phase != Phase::open || !r->pending || r->pending->office != office) {
@@ -33,6 +44,7 @@
   r->pending.reset();
   r->phase = Phase::established;
   r->office = office;
+  r->connection = connection;
   r->answer = std::move(description);
   cancel_expiry_timer(*r);
   ++established_calls_;
@@ -59,15 +71,8 @@
       unknown_call_frontend_->released(message.call, message.cause);
     return;
   }
-  if (r->phase == Phase::established && r->office == message.office) {
-    const Attempt attempt{r->attempts - 1, message.office, now_};
-    report_attempt_ended(*r, attempt,
-                         message.cause == kNormalClearing ? AttemptOutcome::ok : AttemptOutcome::reset, true,
-                         &message);
-    end_established(*r);
-    r->request.frontend->released(message.call, message.cause);
-    return;
-  }
+  if (r->phase == Phase::established && r->office == message.office)
+    return relay_established_end(*r, message);
   if (r->phase != Phase::open || !r->pending || r->pending->office != message.office) return;
   const Attempt attempt = *r->pending;
   r->pending.reset();
@@ -80,6 +85,21 @@
   report_attempt_ended(*r, attempt, attempt_outcome, false, &message);
 }
 
+// On a connection before that of the answer, a message may concern an earlier attempt, which was given up
+// with that connection. A refusal does. Any other end is relayed, and the office is told too, which may still
+// hold the call.
+void Core::relay_established_end(Record& record, const OfficeRelease& message) {
+  const bool on_earlier_connection = message.connection < record.connection;
+  if (on_earlier_connection && refuses_set_up(message.cause)) return;
+  const Attempt attempt{record.attempts - 1, message.office, now_};
+  const bool completed = message.cause == kNormalClearing;
+  report_attempt_ended(record, attempt, completed ? AttemptOutcome::ok : AttemptOutcome::reset, true,
+                       &message);
+  end_established(record);
+  if (on_earlier_connection) backend_->release(message.office, message.call);
+  record.request.frontend->released(message.call, message.cause);
+}
+
 void Core::relay_release(CallId call, const CallerFrontend& frontend) {
   Record* r = find(call);
   if (r == nullptr || r->request.frontend != &frontend) return;
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -181,7 +181,7 @@
   reach_.received(at);
   releases_.peer_active(at);
   // The second connection may be up and carry releases from the office.
-  if (second_ && !collecting_) leave(std::make_shared<Line>(std::move(second_)), {}, Leaves::beside);
+  if (second_ && !collecting_) leave(make_line(std::move(second_)), {}, Leaves::beside);
   for (;;) {
     const std::string_view held = buffer_.view();
     const std::size_t end = held.find('\n');
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -52,9 +52,10 @@
  private:
   // One connection. Writers share ownership, so that the descriptor is not reused while they write.
   struct Line {
-    explicit Line(net::Fd up) : fd(std::move(up)) {}
+    Line(net::Fd up, core::ConnectionNumber its_number) : fd(std::move(up)), number(its_number) {}
     net::Fd fd;
     net::Outbox outbox;
+    const core::ConnectionNumber number;
   };
   // A connection no longer used: our direction is closed, and it is read until the office closes it, or
   // `until`.
@@ -91,12 +92,13 @@
   void failed(net::Dial how);
   void host_shortage();
   void up(net::Fd fd);
+  std::shared_ptr<Line> make_line(net::Fd fd);
   enum class Rest { unread, read };  // whether the office may have sent more on it
   void drop(Rest rest);
   bool read();
   void take(std::string_view text);
-  void take_answer(const OfficeLine& line);
-  void take_end(const OfficeLine& line);
+  void take_answer(const OfficeLine& message);
+  void take_end(const OfficeLine& message);
   // The line in use, or one that came up beside it.
   enum class Leaves { used, beside };
   void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
@@ -108,7 +110,7 @@
   void read_leaving();
   enum class RestRead { more, ended, malformed };
   RestRead read_rest(Leaving& from);
-  void handle_late_line(std::string_view text);
+  void handle_late_line(std::string_view text, core::ConnectionNumber connection);
   bool send_release(CallId call, std::string text);  // false: queued for the next connection
   void withdraw_unsent();
   void check_quiet();
@@ -131,6 +133,7 @@
   bool ended_ = false;
   bool finishing_ = false;  // shutting down
   std::uint64_t tags_ = 0;
+  std::uint64_t connections_ = 0;  // that have come up
   std::map<CallId, Open> open_;
   std::vector<std::pair<CallId, std::string>> pending_releases_;  // releases for the next connection
   std::shared_ptr<Line> line_;
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -76,8 +76,12 @@
     core_.attempt_failed(call, open.attempt.number(), AttemptOutcome::connect_failed);
 }
 
+std::shared_ptr<OfficeLink::Line> OfficeLink::make_line(net::Fd fd) {
+  return std::make_shared<Line>(std::move(fd), core::ConnectionNumber{++connections_});
+}
+
 void OfficeLink::up(net::Fd fd) {
-  line_ = std::make_shared<Line>(std::move(fd));
+  line_ = make_line(std::move(fd));
   buffer_ = {};
   collect_again_at_ = net::kNever;  // this connection collects
   shortage_deadline_ = net::kNever;
--- a/src/platform/link_finish.cpp
+++ b/src/platform/link_finish.cpp
@@ -34,9 +34,8 @@
 // only our direction is closed, and what the office writes until it notices is read. A pending release of
 // ours dials again.
 void OfficeLink::leave_all() {
-  if (second_) leave(std::make_shared<Line>(std::move(second_)), {}, Leaves::beside);
-  if (dialling_ && pending_releases_.empty())
-    leave(std::make_shared<Line>(std::move(dialling_)), {}, Leaves::beside);
+  if (second_) leave(make_line(std::move(second_)), {}, Leaves::beside);
+  if (dialling_ && pending_releases_.empty()) leave(make_line(std::move(dialling_)), {}, Leaves::beside);
   if (!may_leave_line()) return;
   releases_.clear();  // they are written, and the office reads up to our end
   leave(std::move(line_), std::move(buffer_), Leaves::used);
--- a/src/platform/link_leaving.cpp
+++ b/src/platform/link_leaving.cpp
@@ -68,7 +68,7 @@
   }
   net::Fd fresh = std::move(second_);
   loop_.unwatch(fresh);
-  if (how == net::Dial::up) leave(std::make_shared<Line>(std::move(fresh)), {}, Leaves::beside);
+  if (how == net::Dial::up) leave(make_line(std::move(fresh)), {}, Leaves::beside);
 }
 
 void OfficeLink::read_leaving() {
@@ -89,7 +89,7 @@
     const std::size_t end = held.find('\n');
     if (end == std::string_view::npos) return from.buffer.full() ? RestRead::malformed : RestRead::more;
     try {
-      handle_late_line(held.substr(0, end));
+      handle_late_line(held.substr(0, end), from.line->number);
     } catch (const std::runtime_error& error) {
       net::log_line("office " + net::office_name(id_) + " not read to its end: " + error.what());
       return RestRead::malformed;
--- a/tests/crossings/endpoint_releases_test.cpp
+++ b/tests/crossings/endpoint_releases_test.cpp
@@ -127,6 +127,46 @@
   EXPECT_EQ(callers_.events(kCall).back(), "released 16");
 }
 
+// Guards against a call that stands and whose caller is told that it is over: a refusal of an earlier
+// attempt, late on the connection that was left, was taken for the end of the call.
+TEST_F(EndpointReleases, LateRefusalOfTheAttemptBeforeDoesNotEndTheCallThatStands) {
+  FakeEndpoint& endpoint = add(1);
+  const net::Fd first = connected(endpoint);
+  request(kCall);
+  ASSERT_TRUE(is(line(first), "START", kCall));
+  const net::Fd second = replacement(endpoint);
+  std::string next = line(second);
+  while (!next.empty() && !is(next, "START", kCall)) next = line(second);
+  ASSERT_TRUE(is(next, "START", kCall));
+  say(second, started_line(kCall));
+  turns();
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  say(first, end_line(kCall, 34) + end_line(kOther, 16));
+  turns();
+  ASSERT_TRUE(callers_.await(kOther, 1)) << "what came before it has been handled";
+  EXPECT_EQ(callers_.events(kCall), Events{"stands sdp"});
+}
+
+// An end on that connection which may be the earlier attempt's or the call's ends it on both sides.
+TEST_F(EndpointReleases, LateBreakThatMayBeOfTheAttemptBeforeEndsTheCallOnBothSides) {
+  FakeEndpoint& endpoint = add(1);
+  const net::Fd first = connected(endpoint);
+  request(kCall);
+  ASSERT_TRUE(is(line(first), "START", kCall));
+  const net::Fd second = replacement(endpoint);
+  std::string next = line(second);
+  while (!next.empty() && !is(next, "START", kCall)) next = line(second);
+  ASSERT_TRUE(is(next, "START", kCall));
+  say(second, started_line(kCall));
+  turns();
+  ASSERT_TRUE(callers_.await(kCall, 1));
+  say(first, end_line(kCall, 41));
+  turns();
+  ASSERT_TRUE(callers_.await(kCall, 2));
+  EXPECT_EQ(callers_.events(kCall).back(), "released 41");
+  EXPECT_TRUE(is(line(second), "FINISH", kCall));
+}
+
 // The connection ends, and then the machine is silent: a new one neither comes up nor is refused. Its calls
 // are over for their callers within the time that a silent open connection has.
 TEST_F(EndpointReleases, CallsAtAnEndpointThatVanishesAfterItsConnectionEndedAreReleased) {
