End the calls of an office's earlier process at the reset of its silent connection

The machine was away for 4.5 s, came back with a new process under its id and address, and the bulletin told 4.5 s later.

Cause: nothing was concluded in time. No connection was refused, a new one came up before 5.5 s of silence (Reachability::probed, replaced), and the bulletin was late. The reset of the old connection was read as an end like any other (link_leaving.cpp, read_rest).

Change: Reachability decides that a reset after silence shows a process that has gone, since a machine that is cut off resets nothing. The core drops the calls whose answers came on that connection or an earlier one; the new process's calls go on. The dropped ones are released at the office too, in case it has only forgotten the connection. The log says so.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -1,6 +1,8 @@
 // The call table and the office list: rejects calls with their one final answer, counts the established calls
 // of each office, and bounds how long records of ended calls are retained. Established calls are never
 // discarded.
+#include <limits>
+
 #include "core/core.h"
 
 namespace reeltack::core {
@@ -10,6 +12,7 @@
 constexpr Duration kRetention = std::chrono::seconds(30);
 // Limits the records of ended calls, so that a client sending at full speed cannot exhaust the memory.
 constexpr std::size_t kMaxRetained = 4096;
+constexpr ConnectionNumber kAnyConnection{std::numeric_limits<std::uint64_t>::max()};
 
 // From the note in an office's release.
 FullReason full_reason(const std::string& note) {
@@ -93,17 +96,31 @@
 
 // The office's process has died or its machine is gone: drops its calls and notifies their callers.
 void Core::drop_calls_at(ServerId office) {
-  if (!established_at_office_.contains(office)) return;
-  std::vector<CallId> dropped;
-  for (const auto& [call, record] : calls_) {
-    if (record.phase == Phase::established && record.office == office) dropped.push_back(call);
+  for (const CallId call : calls_at(office, kAnyConnection)) drop_call(calls_.at(call));
+}
+
+void Core::drop_calls_on(ServerId office, ConnectionNumber last) {
+  for (const CallId call : calls_at(office, last)) {
+    drop_call(calls_.at(call));
+    backend_->release(office, call);
   }
-  for (const CallId call : dropped) {
-    Record& record = calls_.at(call);
-    report_attempt_ended(record, {record.attempts - 1, office, now_}, AttemptOutcome::reset, true);
-    end_established(record);
-    record.request.frontend->released(call, kTemporaryFailure);
+}
+
+// The calls established at the office whose answers came on connections up to `last`.
+std::vector<CallId> Core::calls_at(ServerId office, ConnectionNumber last) const {
+  std::vector<CallId> out;
+  if (!established_at_office_.contains(office)) return out;
+  for (const auto& [call, record] : calls_) {
+    const bool here = record.phase == Phase::established && record.office == office;
+    if (here && record.connection <= last) out.push_back(call);
   }
+  return out;
+}
+
+void Core::drop_call(Record& record) {
+  report_attempt_ended(record, {record.attempts - 1, record.office, now_}, AttemptOutcome::reset, true);
+  end_established(record);
+  record.request.frontend->released(record.request.arrival.call, kTemporaryFailure);
 }
 
 void Core::apply_list(bool complete, const std::vector<OfficeEntry>& offices) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -54,7 +54,10 @@
   void office_released(OfficeRelease message);
   void load_reported(ServerId office, const LoadReport& report);
   void attempt_failed(CallId call, std::uint32_t attempt, AttemptOutcome outcome);
-  void office_lost(ServerId office);                    // drops every call established there
+  void office_lost(ServerId office);  // drops every call established there
+  // The process that answered on this connection has died: drops the calls established on it and on earlier
+  // ones. They are released at the office as well, in case it has only forgotten the connection.
+  void connection_lost(ServerId office, ConnectionNumber connection);
   void attempt_transmitted();                           // a set-up has begun to be written to its office
   void reachability_changed(ServerId office, bool up);  // the result of dialling it
   void update_offices(bool complete, std::vector<OfficeEntry> offices);
@@ -132,6 +135,9 @@
   void retain_ended(Record& record);
   void cancel_expiry_timer(Record& record);
   void drop_calls_at(ServerId office);
+  void drop_calls_on(ServerId office, ConnectionNumber last);
+  [[nodiscard]] std::vector<CallId> calls_at(ServerId office, ConnectionNumber last) const;
+  void drop_call(Record& record);
   void apply_list(bool complete, const std::vector<OfficeEntry>& offices);
   void change_established_count(ServerId office, int change);
   void update_office_metrics();
--- a/src/core/inbox.cpp
+++ b/src/core/inbox.cpp
@@ -86,6 +86,9 @@
 void Core::office_lost(ServerId office) {
   post([this, office] { drop_calls_at(office); });
 }
+void Core::connection_lost(ServerId office, ConnectionNumber connection) {
+  post([this, office, connection] { drop_calls_on(office, connection); });
+}
 void Core::update_offices(bool complete, std::vector<OfficeEntry> offices) {
   // The backend is updated first: a set-up that is about to be sent must not reach an office listed as
   // draining.
--- a/src/membership/reachability.cpp
+++ b/src/membership/reachability.cpp
@@ -39,6 +39,7 @@
 void Reachability::connected(Time at) {
   received_at_ = at;
   awaiting_answer_since_.reset();
+  probe_failed_ = false;
   was_connected_ = true;
   dead_ = false;
 }
@@ -48,6 +49,11 @@
 void Reachability::received(Time at) {
   received_at_ = at;
   awaiting_answer_since_.reset();
+  probe_failed_ = false;
+}
+
+bool Reachability::reset_after_silence(Time at) const {
+  return calls_established_ && (probe_failed_ || at >= received_at_ + settings_.idle_before_probe);
 }
 
 bool Reachability::set_up_sent(Time at) {
@@ -62,6 +68,7 @@
   probed_at_ = at;
   if (how == DialResult::connected) return ProbeResult::replaced;
   if (how == DialResult::refused) return ProbeResult::drop;
+  probe_failed_ = true;
   if (at < loss_at()) return ProbeResult::wait;
   was_connected_ = false;
   dead_ = true;
--- a/src/membership/reachability.h
+++ b/src/membership/reachability.h
@@ -44,9 +44,15 @@
   void dial_impossible(Time at);
   void connected(Time at);
   void disconnected(Time at);
+  // The far end has reset the connection in use. True: it had been silent before. A machine that is cut off
+  // resets nothing, so the process at the far end has died or its machine has restarted, and the calls that
+  // were established on this connection and earlier ones have ended. False: that proves nothing about them.
+  [[nodiscard]] bool reset_after_silence(Time at) const;
   void received(Time at);     // any message on the connection
   bool set_up_sent(Time at);  // true: from now on an answer is awaited
   // The result of a probe, which dials a second connection beside a quiet one, and what to do then.
+  // `replaced`: nothing is known yet about the calls established on the old connection. If the far end resets
+  // that one without another word on it, they have ended, as in reset_after_silence().
   enum class ProbeResult { wait, replaced, drop, lost };
   ProbeResult probed(DialResult how, Time at);
 
@@ -77,6 +83,7 @@
   bool ready_ = false;
   bool gone_ = false;  // permanently
   bool calls_established_ = false;
+  bool probe_failed_ = false;  // no second connection came up since the last message
   bool was_connected_ = false;
   bool dead_ = false;  // the process has died and no restart has been reported
 };
--- a/src/net/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -41,6 +41,7 @@
     n = sys::recv(from.get(), data_.data() + end_, data_.size() - end_);
   } while (n < 0 && errno == EINTR);
   if (n < 0 && is_temporary(errno)) return ReadResult::no_data;
+  peer_reset_ = n < 0 && errno == ECONNRESET;
   if (n <= 0) return ReadResult::closed;
   end_ += static_cast<std::size_t>(n);
   return ReadResult::data;
@@ -76,6 +77,7 @@
     const ssize_t n = sys::send(to.get(), partial_.data() + written, partial_.size() - written);
     if (n < 0 && errno == EINTR) continue;
     sound = n > 0 || is_temporary(errno);
+    peer_reset_ = n < 0 && errno == ECONNRESET;
     if (n <= 0) break;
     written += static_cast<std::size_t>(n);
   }
@@ -156,6 +158,10 @@
   const std::lock_guard hold(lock_);
   return queued_ + partial_.size() > kCongestedBytes;
 }
+bool Outbox::peer_reset() const {
+  const std::lock_guard hold(lock_);
+  return peer_reset_;
+}
 bool Outbox::unread() const {
   const std::lock_guard hold(lock_);
   return unread_;
--- a/src/net/buffers.h
+++ b/src/net/buffers.h
@@ -25,6 +25,7 @@
   ReadResult fill_now(const Fd& from);  // without waiting
   [[nodiscard]] std::string_view view() const { return {data_.data() + begin_, end_ - begin_}; }
   void take(std::size_t n);
+  [[nodiscard]] bool peer_reset() const { return peer_reset_; }  // closed: by a reset of the far end
   // More is held than one message may take.
   [[nodiscard]] bool full() const { return end_ - begin_ > kMaxInputMessageBytes; }
 
@@ -32,6 +33,7 @@
   std::string data_;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
+  bool peer_reset_ = false;
 };
 
 // Output queue of one connection. No function waits: what cannot be written at once stays queued until the
@@ -62,6 +64,7 @@
   [[nodiscard]] bool congested() const;       // so much is queued that no more should be read from the peer
   [[nodiscard]] bool broken() const;          // nothing is written any more
   [[nodiscard]] bool unread() const;          // it broke because the peer did not read a message in time
+  [[nodiscard]] bool peer_reset() const;      // it broke because the far end has reset the connection
   [[nodiscard]] Time write_deadline() const;  // deadline for the message that is being written
 
  private:
@@ -84,6 +87,7 @@
   bool finishing_ = false;
   bool closed_ = false;
   bool unread_ = false;
+  bool peer_reset_ = false;
 };
 
 }  // namespace reeltack::net
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -112,7 +112,7 @@
       loop_.unwatch(dialling_);
       dialling_.reset();
     } else if (line_ && ready && !read()) {
-      drop(Rest::read);
+      connection_ended();
     }
     outdated_ = false;
     if (finishing_) leave_all();
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -62,6 +62,7 @@
   struct Leaving {
     std::shared_ptr<Line> line;
     net::Buffer buffer;
+    bool silent = false;  // replaced for that reason, and nothing has come on it since
     Time left_at{};
     Time until{};
     Time collect_at{};  // when another connection is opened for releases that may be lost on it
@@ -95,12 +96,13 @@
   std::shared_ptr<Line> make_line(net::Fd fd);
   enum class Rest { unread, read };  // whether the office may have sent more on it
   void drop(Rest rest);
+  void connection_ended();
   bool read();
   void take(std::string_view text);
   void take_answer(const OfficeLine& message);
   void take_end(const OfficeLine& message);
-  // The line in use, or one that came up beside it.
-  enum class Leaves { used, beside };
+  // The line in use, at the end or because it was silent; or one that came up beside it.
+  enum class Leaves { finished, silent, beside };
   void leave(std::shared_ptr<Line> line, net::Buffer buffer, Leaves which);
   [[nodiscard]] bool may_leave_line() const;
   [[nodiscard]] bool has_pending_releases_locked() const;  // requires the lock
@@ -110,6 +112,7 @@
   void read_leaving();
   enum class RestRead { more, ended, malformed };
   RestRead read_rest(Leaving& from);
+  void process_lost(core::ConnectionNumber connection);
   void handle_late_line(std::string_view text, core::ConnectionNumber connection);
   bool send_release(CallId call, std::string text);  // false: queued for the next connection
   void withdraw_unsent();
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -91,12 +91,29 @@
   for (auto& [call, open] : open_) queue(line_, call, open);
 }
 
+// The far end has ended the connection in use, or it cannot be trusted.
+void OfficeLink::connection_ended() {
+  const core::ConnectionNumber number = line_->number;
+  const bool reset = buffer_.peer_reset() || line_->outbox.peer_reset();
+  const bool lost = reset && reach_.reset_after_silence(net::now());
+  drop(Rest::read);
+  if (lost) process_lost(number);
+}
+
+// The calls established on this connection and on earlier ones have ended. The office can be reached, or will
+// be asked soon: what is set up on later connections is not concerned.
+void OfficeLink::process_lost(core::ConnectionNumber connection) {
+  net::log_line("office " + net::office_name(id_) +
+                " has reset a connection that was silent: the calls of its earlier process are cut");
+  core_.connection_lost(id_, connection);
+}
+
 void OfficeLink::drop(Rest rest) {
   const std::shared_ptr<Line> line = std::move(line_);
   line_.reset();
   line->outbox.abandon();
   if (rest == Rest::unread) {
-    leave(line, std::move(buffer_), Leaves::used);
+    leave(line, std::move(buffer_), Leaves::silent);
   } else {
     loop_.unwatch(line->fd);
     line->fd.shut();
--- a/src/platform/link_finish.cpp
+++ b/src/platform/link_finish.cpp
@@ -38,7 +38,7 @@
   if (dialling_ && pending_releases_.empty()) leave(make_line(std::move(dialling_)), {}, Leaves::beside);
   if (!may_leave_line()) return;
   releases_.clear();  // they are written, and the office reads up to our end
-  leave(std::move(line_), std::move(buffer_), Leaves::used);
+  leave(std::move(line_), std::move(buffer_), Leaves::finished);
   line_.reset();
   buffer_ = {};
   reach_.disconnected(net::now());
--- /dev/null
+++ b/tests/crossings/endpoint_restart_test.cpp
@@ -0,0 +1,140 @@
+// An endpoint whose machine vanishes and comes back with a new process under its id and address: the calls of
+// the earlier process have ended, though new connections come up. Discovery may tell of it too late.
+#include "crossings/endpoint_world.h"
+
+namespace reeltack::test {
+namespace {
+
+using Events = std::vector<std::string>;
+constexpr CallId kBefore{0x71};
+constexpr CallId kAfter{0x72};
+
+class EndpointRestart : public EndpointWorld {
+ protected:
+  void SetUp() override {
+    EndpointWorld::SetUp();
+    endpoint_ = &add(1);
+    first_ = connected(*endpoint_);
+    establish(kBefore, first_);
+  }
+  void establish(CallId call, const net::Fd& connection) {
+    request(call);
+    ASSERT_TRUE(is(line(connection), "START", call));
+    say(connection, started_line(call));
+    turns();
+    ASSERT_TRUE(callers_.await(call, 1));
+  }
+  // A machine that has started anew resets what it does not know.
+  static void reset(net::Fd& connection) {
+    const linger at_once{1, 0};
+    ::setsockopt(connection.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    connection.reset();
+  }
+  // From now on no connection comes up: a listener whose queue is full drops what asks for one.
+  void vanish() {
+    ASSERT_EQ(::listen(endpoint_->listening.get(), 0), 0);
+    net::Dial how{};
+    for (int i = 0; i < 4; ++i) queued_.push_back(net::begin_dial(endpoint_->address, how));
+  }
+  // The link's next connection.
+  net::Fd come_back() {
+    EXPECT_EQ(::listen(endpoint_->listening.get(), 128), 0);
+    queued_.clear();
+    net::Fd out = accept(*endpoint_);
+    while (out && out.far_end_closed()) out = accept(*endpoint_);  // one of the queue, or dialled in vain
+    return out;
+  }
+  void turn_for(Duration span) {
+    for (const Time by = net::now() + span; net::now() < by;) {
+      turn();
+      net::pause_until(net::now() + 5ms);
+    }
+  }
+  void expect_dropped(CallId call) {
+    ASSERT_TRUE(callers_.await(call, 2));
+    EXPECT_EQ(callers_.events(call).back(), "released 41");
+  }
+
+  FakeEndpoint* endpoint_ = nullptr;
+  net::Fd first_;
+  std::vector<net::Fd> queued_;
+};
+
+// Guards against callers who hear of the end of their calls only by discovery: the silent connection is
+// replaced, and is then reset. The new process's calls go on.
+TEST_F(EndpointRestart, ResetOfAReplacedSilentConnectionEndsTheCallsOfBefore) {
+  const net::Fd second = accept(*endpoint_);
+  turns();
+  establish(kAfter, second);
+  reset(first_);
+  turns();
+  expect_dropped(kBefore);
+  EXPECT_EQ(callers_.events(kAfter), Events{"stands sdp"});
+  const std::vector<std::string> lines = lines_until_now(*endpoint_, second);
+  ASSERT_EQ(lines.size(), 1U) << "only the earlier call is released, in case that the endpoint holds it";
+  EXPECT_TRUE(is(lines[0], "FINISH", kBefore));
+}
+
+// The same where the connection in use is reset before a second one comes up.
+TEST_F(EndpointRestart, ResetOfASilentConnectionInUseEndsItsCalls) {
+  vanish();
+  turn_for(2700ms);
+  reset(first_);
+  turns();
+  const net::Fd second = come_back();
+  expect_dropped(kBefore);
+  EXPECT_TRUE(is(line(second), "FINISH", kBefore));
+}
+
+// Seen first by a write: that error is the only sign of the reset.
+TEST_F(EndpointRestart, ResetSeenByAWriteEndsTheCallsToo) {
+  vanish();
+  turn_for(2700ms);
+  reset(first_);
+  EXPECT_TRUE(start(*endpoint_, kAfter, 0));
+  endpoint_->link->release(CallId{0x5});
+  turns();
+  const net::Fd second = come_back();
+  expect_dropped(kBefore);
+}
+
+// A connection that was not silent: its reset says nothing about the calls, which no connection owns.
+TEST_F(EndpointRestart, ResetOfABusyConnectionEndsNoCall) {
+  reset(first_);
+  const net::Fd second = accept(*endpoint_);
+  turns();
+  EXPECT_EQ(callers_.events(kBefore), Events{"stands sdp"});
+  say(second, end_line(kBefore, 16));
+  turns();
+  ASSERT_TRUE(callers_.await(kBefore, 2));
+  EXPECT_EQ(callers_.events(kBefore).back(), "released 16");
+}
+
+// A word on the replaced connection: its process has outlived the silence, whatever ends the connection then.
+TEST_F(EndpointRestart, ResetOfAReplacedConnectionThatSpokeAgainEndsNoCall) {
+  const net::Fd second = accept(*endpoint_);
+  turns();
+  say(first_, "{\"verb\":\"PENDING\",\"tag\":\"0000000000000005\",\"opts\":{}}\n");
+  turns();
+  reset(first_);
+  turns();
+  say(second, end_line(kBefore, 16));
+  turns();
+  ASSERT_TRUE(callers_.await(kBefore, 2));
+  EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+}
+
+// A silent connection that was replaced and is then closed in order: its calls go on.
+TEST_F(EndpointRestart, CloseOfAReplacedSilentConnectionEndsNoCall) {
+  const net::Fd second = accept(*endpoint_);
+  turns();
+  first_.reset();
+  turns();
+  say(second, end_line(kBefore, 16));
+  turns();
+  ASSERT_TRUE(callers_.await(kBefore, 2));
+  EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+}
+
+}  // namespace
+}  // namespace reeltack::test
