Fill the connection for sure in the test of a waiting set-up

Cause: WebSocketWaitingSetUp failed in 18 of 60 runs on an idle machine and 13 of 40 beside ten busy processes: the kernel took more bytes while the test waited, so that the set-up did not wait, and a second attempt could have expired. Change: buffers of a set size, filled until ten turns in a row write nothing; the test goes on as the release guard ends and asserts that the connection is full.

--- a/tests/crossings/websocket_endpoint_test.cpp
+++ b/tests/crossings/websocket_endpoint_test.cpp
@@ -102,10 +102,12 @@
     request(kCall, 8s);
     expect_set_up(*endpoint_, kCall);
     core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
+    const Time given_up = base::now();
     settle(*core_);
     expect_message(*endpoint_, {"give-up", id_text(kCall)});
     fill_connection();
-    settle_at(*core_, base::now() + 2 * kGuard);
+    settle_at(*core_, given_up + kGuard + 50ms);
+    ASSERT_TRUE(endpoint_->near->blocked());
   }
   // The endpoint reads what filled its connection, and then has the set-up.
   void expect_waiting_set_up() {
@@ -118,19 +120,21 @@
   WebSocketPeer* endpoint_ = nullptr;
 
  private:
-  // Until the kernel takes no more, which it does for a while as it moves bytes to the far end.
+  // Until the kernel takes no more, which it does for a while as it moves bytes to the far end. The buffers'
+  // sizes are set, since the kernel would enlarge them meanwhile.
   void fill_connection() {
+    const int bytes = 16 * 1024;
+    ::setsockopt(endpoint_->near_fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    ::setsockopt(endpoint_->far.fd(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
     const std::string filler = R"({"type":"filler","text":")" + std::string(4000, 'x') + "\"}";
-    for (int refused = 0; refused < 5;) {
-      if (endpoint_->near->blocked()) {
-        ++refused;
-        net::pause_until(net::now() + 10ms);
-        endpoint_->step();
-      } else {
-        refused = 0;
+    for (int refused = 0; refused < 10;) {
+      if (!endpoint_->near->blocked()) {
         ++fillers_;
         ASSERT_TRUE(endpoint_->near->send(filler));
       }
+      net::pause_until(net::now() + 5ms);
+      endpoint_->step();
+      refused = endpoint_->near->blocked() ? refused + 1 : 0;
     }
   }
   int fillers_ = 0;
