--- a/tests/crossings/endpoint_releases_test.cpp
+++ b/tests/crossings/endpoint_releases_test.cpp
@@ -25,6 +25,20 @@
     turns();
     return out;
   }
+  // The endpoint does not answer the call's set-up on `first`; it stands by the set-up on the next
+  // connection.
+  net::Fd let_stand_on_the_next(FakeEndpoint& endpoint, const net::Fd& first) {
+    request(kCall);
+    EXPECT_TRUE(is(line(first), "START", kCall));
+    net::Fd second = replacement(endpoint);
+    std::string next = line(second);
+    while (!next.empty() && !is(next, "START", kCall)) next = line(second);
+    EXPECT_TRUE(is(next, "START", kCall));
+    say(second, started_line(kCall));
+    turns();
+    EXPECT_TRUE(callers_.await(kCall, 1));
+    return second;
+  }
   // The next connection to an endpoint that goes on speaking on `busy`, which need not be asked for.
   net::Fd accept_beside(FakeEndpoint& endpoint, const net::Fd& busy) {
     net::Fd out;
@@ -132,15 +146,7 @@
 TEST_F(EndpointReleases, LateRefusalOfTheAttemptBeforeDoesNotEndTheCallThatStands) {
   FakeEndpoint& endpoint = add(1);
   const net::Fd first = connected(endpoint);
-  request(kCall);
-  ASSERT_TRUE(is(line(first), "START", kCall));
-  const net::Fd second = replacement(endpoint);
-  std::string next = line(second);
-  while (!next.empty() && !is(next, "START", kCall)) next = line(second);
-  ASSERT_TRUE(is(next, "START", kCall));
-  say(second, started_line(kCall));
-  turns();
-  ASSERT_TRUE(callers_.await(kCall, 1));
+  const net::Fd second = let_stand_on_the_next(endpoint, first);
   say(first, end_line(kCall, 34) + end_line(kOther, 16));
   turns();
   ASSERT_TRUE(callers_.await(kOther, 1)) << "what came before it has been handled";
@@ -151,15 +157,7 @@
 TEST_F(EndpointReleases, LateBreakThatMayBeOfTheAttemptBeforeEndsTheCallOnBothSides) {
   FakeEndpoint& endpoint = add(1);
   const net::Fd first = connected(endpoint);
-  request(kCall);
-  ASSERT_TRUE(is(line(first), "START", kCall));
-  const net::Fd second = replacement(endpoint);
-  std::string next = line(second);
-  while (!next.empty() && !is(next, "START", kCall)) next = line(second);
-  ASSERT_TRUE(is(next, "START", kCall));
-  say(second, started_line(kCall));
-  turns();
-  ASSERT_TRUE(callers_.await(kCall, 1));
+  const net::Fd second = let_stand_on_the_next(endpoint, first);
   say(first, end_line(kCall, 41));
   turns();
   ASSERT_TRUE(callers_.await(kCall, 2));
