Conclude from a reset only where the office could not be reached

The first form took each reset after silence for a restarted machine.

Change: a reset counts only where a second connection had failed since the last word, as at a machine that is away: Reachability::was_unreachable. The span of silence no longer matters.

Result: EndpointRestart.ResetOfAConnectionThatAloneWasSilentEndsNoCall and the tests of Reachability hold it.

--- a/src/membership/reachability.cpp
+++ b/src/membership/reachability.cpp
@@ -52,10 +52,6 @@
   probe_failed_ = false;
 }
 
-bool Reachability::reset_after_silence(Time at) const {
-  return calls_established_ && (probe_failed_ || at >= received_at_ + settings_.idle_before_probe);
-}
-
 bool Reachability::set_up_sent(Time at) {
   if (awaiting_answer_since_) return false;
   awaiting_answer_since_ = at;
--- a/src/membership/reachability.h
+++ b/src/membership/reachability.h
@@ -44,15 +44,13 @@
   void dial_impossible(Time at);
   void connected(Time at);
   void disconnected(Time at);
-  // The far end has reset the connection in use. True: it had been silent before. A machine that is cut off
-  // resets nothing, so the process at the far end has died or its machine has restarted, and the calls that
-  // were established on this connection and earlier ones have ended. False: that proves nothing about them.
-  [[nodiscard]] bool reset_after_silence(Time at) const;
+  // No second connection came up since the last message. If the far end then resets the silent connection
+  // without another word on it, its machine has restarted: one that is cut off resets nothing, and one whose
+  // process lives accepts connections. The calls established on that connection and earlier ones have ended.
+  [[nodiscard]] bool was_unreachable() const { return calls_established_ && probe_failed_; }
   void received(Time at);     // any message on the connection
   bool set_up_sent(Time at);  // true: from now on an answer is awaited
   // The result of a probe, which dials a second connection beside a quiet one, and what to do then.
-  // `replaced`: nothing is known yet about the calls established on the old connection. If the far end resets
-  // that one without another word on it, they have ended, as in reset_after_silence().
   enum class ProbeResult { wait, replaced, drop, lost };
   ProbeResult probed(DialResult how, Time at);
 
@@ -83,7 +81,7 @@
   bool ready_ = false;
   bool gone_ = false;  // permanently
   bool calls_established_ = false;
-  bool probe_failed_ = false;  // no second connection came up since the last message
+  bool probe_failed_ = false;  // since the last message
   bool was_connected_ = false;
   bool dead_ = false;  // the process has died and no restart has been reported
 };
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -62,7 +62,7 @@
   struct Leaving {
     std::shared_ptr<Line> line;
     net::Buffer buffer;
-    bool silent = false;  // replaced for that reason, and nothing has come on it since
+    bool unreachable = false;  // the office was, while it was silent; nothing has come on it since
     Time left_at{};
     Time until{};
     Time collect_at{};  // when another connection is opened for releases that may be lost on it
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -95,7 +95,7 @@
 void OfficeLink::connection_ended() {
   const core::ConnectionNumber number = line_->number;
   const bool reset = buffer_.peer_reset() || line_->outbox.peer_reset();
-  const bool lost = reset && reach_.reset_after_silence(net::now());
+  const bool lost = reset && reach_.was_unreachable();
   drop(Rest::read);
   if (lost) process_lost(number);
 }
@@ -103,8 +103,9 @@
 // The calls established on this connection and on earlier ones have ended. The office can be reached, or will
 // be asked soon: what is set up on later connections is not concerned.
 void OfficeLink::process_lost(core::ConnectionNumber connection) {
-  net::log_line("office " + net::office_name(id_) +
-                " has reset a connection that was silent: the calls of its earlier process are cut");
+  net::log_line(
+      "office " + net::office_name(id_) +
+      " has reset a connection that was silent and out of reach: the calls of its earlier process are cut");
   core_.connection_lost(id_, connection);
 }
 
--- a/src/platform/link_leaving.cpp
+++ b/src/platform/link_leaving.cpp
@@ -25,7 +25,8 @@
   const Time at = net::now();
   if (leaving_.size() >= kMaxLeaving) evict(at);
   const bool used = which != Leaves::beside;
-  leaving_.push_back({std::move(line), std::move(buffer), which == Leaves::silent, at,
+  const bool unreachable = which == Leaves::silent && reach_.was_unreachable();
+  leaving_.push_back({std::move(line), std::move(buffer), unreachable, at,
                       at + (used ? kLeavingTimeout : kCollectDelay),
                       used ? at + kCollectDelay : net::kNever});
 }
@@ -85,11 +86,10 @@
 OfficeLink::RestRead OfficeLink::read_rest(Leaving& from) {
   const net::ReadResult got = from.buffer.fill_now(from.line->fd);
   if (got == net::ReadResult::closed) {
-    const bool process_gone = from.silent && from.buffer.peer_reset() && reach_.calls_established();
-    if (process_gone) process_lost(from.line->number);
+    if (from.unreachable && from.buffer.peer_reset()) process_lost(from.line->number);
     return RestRead::ended;
   }
-  if (got == net::ReadResult::data) from.silent = false;
+  if (got == net::ReadResult::data) from.unreachable = false;
   for (;;) {
     const std::string_view held = from.buffer.view();
     const std::size_t end = held.find('\n');
