Take one look at the program's signal mask for its answer

It waits until the program blocks three signals, and then looked a second time: as the program starts a thread, the C library blocks every signal for a moment (strace: SIG_BLOCK ~[] before each clone3, 30 to 115 us, and the old mask after it), so that the second look found another mask. Change: the look that ends the wait is the one that counts, with the same condition.

--- a/tests/crossings/shutdown_process_test.cpp
+++ b/tests/crossings/shutdown_process_test.cpp
@@ -29,9 +29,12 @@
     }
     return false;
   };
+  // One look that finds them blocked is enough: as a thread begins, every signal is blocked for a moment
+  // again.
   const Time by = soon();
-  while (!blocks_its_signals() && net::now() < by) net::pause_until(net::now() + 1ms);
-  ASSERT_TRUE(blocks_its_signals());
+  bool blocked = blocks_its_signals();
+  for (; !blocked && net::now() < by; blocked = blocks_its_signals()) net::pause_until(net::now() + 1ms);
+  ASSERT_TRUE(blocked);
   signal(SIGHUP);
   signal(SIGTERM);
   expect_ends_well();
