Do not take a late end of an earlier attempt for the confirmation of a release

A centrale of the WebSocket front went on holding a call without a caller (forced by a test, not seen in service). A late end of the first attempt confirmed the release of the second one; lost with the connection, it was not sent again. Change: a release of an attempt whose earlier one may still be open is not confirmed by a reported end; membership decides it, by what OpenAttempt knows.

--- a/src/membership/open_attempt.h
+++ b/src/membership/open_attempt.h
@@ -42,6 +42,11 @@
     if (!transmitted_) return EndMeaning::earlier;
     return follows_unread_release_ ? EndMeaning::ambiguous : EndMeaning::present;
   }
+  // For the release of this attempt, should it be given up.
+  [[nodiscard]] PendingReleases::EarlierAttempt earlier() const {
+    return follows_unread_release_ ? PendingReleases::EarlierAttempt::open
+                                   : PendingReleases::EarlierAttempt::ended;
+  }
 
  private:
   std::uint32_t number_;
--- a/src/membership/pending_releases.cpp
+++ b/src/membership/pending_releases.cpp
@@ -4,15 +4,21 @@
 
 namespace reeltack::membership {
 
-void PendingReleases::add(CallId call, std::string text, Time at) {
+void PendingReleases::add(CallId call, std::string text, Time at, EarlierAttempt earlier) {
   if (pending_.size() >= settings_.max_size) pending_.pop_front();
-  pending_.push_back({call, std::move(text), at});
+  pending_.push_back({call, std::move(text), at, earlier});
 }
 
 bool PendingReleases::acknowledge(CallId call) {
   return std::erase_if(pending_, [call](const Entry& entry) { return entry.call == call; }) > 0;
 }
 
+void PendingReleases::end_reported(CallId call) {
+  std::erase_if(pending_, [call](const Entry& entry) {
+    return entry.call == call && entry.earlier == EarlierAttempt::ended;
+  });
+}
+
 void PendingReleases::peer_active(Time at) {
   while (!pending_.empty() && at - pending_.front().at >= settings_.in_transit) pending_.pop_front();
 }
--- a/src/membership/pending_releases.h
+++ b/src/membership/pending_releases.h
@@ -32,9 +32,14 @@
  public:
   explicit PendingReleases(PendingReleasesSettings settings = {}) : settings_(settings) {}
 
-  void add(CallId call, std::string text, Time at);
+  // Whether the far end may still report the end of an earlier attempt of the call.
+  enum class EarlierAttempt { ended, open };
+  void add(CallId call, std::string text, Time at, EarlierAttempt earlier = EarlierAttempt::ended);
   // The far end has confirmed this release, or it must not be sent again. False: none was pending.
   bool acknowledge(CallId call);
+  // The far end has reported an end of the call, which confirms the release unless it may be that of an
+  // earlier attempt.
+  void end_reported(CallId call);
   void peer_active(Time at);  // any message of the far end has arrived
   // The connection has ended: removes all entries and returns those to send again, in order.
   [[nodiscard]] std::vector<std::pair<CallId, std::string>> take_after_disconnect(Time at);
@@ -48,6 +53,7 @@
     CallId call{};
     std::string text;
     Time at{};
+    EarlierAttempt earlier{};
   };
   PendingReleasesSettings settings_;
   std::deque<Entry> pending_;  // ordered by time
--- a/src/ws/endpoints.cpp
+++ b/src/ws/endpoints.cpp
@@ -79,7 +79,7 @@
   {
     const std::lock_guard hold(lock_);
     Endpoint& endpoint = endpoints_[id];
-    endpoint.releases.acknowledge(call);
+    endpoint.releases.end_reported(call);
     const auto found = endpoint.attempts.find(call);
     if (found != endpoint.attempts.end()) {
       const EndMeaning meaning = found->second.end_meaning();
@@ -143,12 +143,12 @@
   Endpoint& endpoint = endpoints_[office];
   const auto found = endpoint.attempts.find(call);
   if (found == endpoint.attempts.end()) return;
-  const bool transmitted = found->second.is_transmitted();
+  const membership::OpenAttempt attempt = found->second;
   endpoint.attempts.erase(found);
   const ConnectionPtr connection = endpoint.connection.lock();
-  if (!transmitted || !connection) return;  // a queued set-up is dropped by may_leave()
+  if (!attempt.is_transmitted() || !connection) return;  // a queued set-up is dropped by may_leave()
   // Recorded for resending: if lost with the connection, the endpoint would hold a call without a caller.
-  endpoint.releases.add(call, release_message(call), net::now());
+  endpoint.releases.add(call, release_message(call), net::now(), attempt.earlier());
   // An endpoint that does not read would receive this too late: cutting the connection gives up its open
   // set-ups at once.
   if (connection->blocked()) return connection->cut();
--- a/tests/crossings/endpoint_restart_test.cpp
+++ b/tests/crossings/endpoint_restart_test.cpp
@@ -60,6 +60,14 @@
     EXPECT_EQ(callers_.events(call).back(), "released 41");
   }
 
+  // The call of before has not been cut, and ends by the endpoint's word.
+  void expect_stands_until_its_end(const net::Fd& connection) {
+    say(connection, end_line(kBefore, 16));
+    turns();
+    ASSERT_TRUE(callers_.await(kBefore, 2));
+    EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+  }
+
   FakeEndpoint* endpoint_ = nullptr;
   net::Fd first_;
   std::vector<net::Fd> queued_;
@@ -106,11 +114,7 @@
   reset(first_);
   const net::Fd second = accept(*endpoint_);
   turns();
-  EXPECT_EQ(callers_.events(kBefore), Events{"stands sdp"});
-  say(second, end_line(kBefore, 16));
-  turns();
-  ASSERT_TRUE(callers_.await(kBefore, 2));
-  EXPECT_EQ(callers_.events(kBefore).back(), "released 16");
+  expect_stands_until_its_end(second);
 }
 
 // Guards against calls that are cut while their office holds them: the connection alone was silent, and a
@@ -120,10 +124,7 @@
   turns();
   reset(first_);
   turns();
-  say(second, end_line(kBefore, 16));
-  turns();
-  ASSERT_TRUE(callers_.await(kBefore, 2));
-  EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+  expect_stands_until_its_end(second);
 }
 
 // A word on the replaced connection: its process has outlived the silence, whatever ends the connection then.
@@ -135,10 +136,7 @@
   turns();
   reset(first_);
   turns();
-  say(second, end_line(kBefore, 16));
-  turns();
-  ASSERT_TRUE(callers_.await(kBefore, 2));
-  EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+  expect_stands_until_its_end(second);
 }
 
 // A silent connection that was replaced and is then closed in order: its calls go on.
@@ -148,10 +146,7 @@
   turns();
   first_.reset();
   turns();
-  say(second, end_line(kBefore, 16));
-  turns();
-  ASSERT_TRUE(callers_.await(kBefore, 2));
-  EXPECT_EQ(callers_.events(kBefore), (Events{"stands sdp", "released 16"}));
+  expect_stands_until_its_end(second);
 }
 
 }  // namespace
--- a/tests/crossings/websocket_endpoint_rig.h
+++ b/tests/crossings/websocket_endpoint_rig.h
@@ -13,6 +13,18 @@
     endpoint.step();
     expect_message(endpoint, {"set-up", id_text(call)});
   }
+  // The call's attempt of this number, which the endpoint has, is given up.
+  void give_up(WebSocketPeer& endpoint, CallId call, std::uint32_t attempt) {
+    core_->attempt_failed(call, attempt, AttemptOutcome::timeout);
+    settle(*core_);
+    expect_message(endpoint, {"give-up", id_text(call)});
+  }
+  // A first attempt that has been given up.
+  void give_up_first_attempt(WebSocketPeer& endpoint, CallId call) {
+    request(call, 8s);
+    expect_set_up(endpoint, call);
+    give_up(endpoint, call, 0);
+  }
   // A call that stands there.
   void let_stand(WebSocketPeer& endpoint, CallId call) {
     request(call, 8s);
--- a/tests/crossings/websocket_endpoint_test.cpp
+++ b/tests/crossings/websocket_endpoint_test.cpp
@@ -54,11 +54,7 @@
 TEST_F(WebSocketEndpoint, ReleaseOfTheAttemptBeforeIsNotToldAfterTheNext) {
   run_endpoints(usual_settings());
   WebSocketPeer& first = connect_endpoint(kFirst);
-  request(kCall, 8s);
-  expect_set_up(first, kCall);
-  core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
-  settle(*core_);
-  expect_message(first, {"give-up", id_text(kCall)});
+  give_up_first_attempt(first, kCall);
   first.send(about("started", kCall, R"(,"description":"late")"));
   settle(*core_);
   expect_release(first, kCall);
@@ -77,11 +73,7 @@
 TEST_F(WebSocketEndpoint, LateEndOfTheAttemptBeforeDoesNotEndThePresentOne) {
   run_endpoints(usual_settings());
   WebSocketPeer& first = connect_endpoint(kFirst);
-  request(kCall, 8s);
-  expect_set_up(first, kCall);
-  core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
-  settle(*core_);
-  expect_message(first, {"give-up", id_text(kCall)});
+  give_up_first_attempt(first, kCall);
   settle_at(*core_, base::now() + 2 * kGuard);
   expect_set_up(first, kCall);
   WebSocketPeer& second = connect_endpoint(kSecond);
@@ -93,18 +85,30 @@
   EXPECT_TRUE(callers_.answers_to(kCall).empty());
 }
 
+// Guards against a call that the endpoint goes on holding: the late end of the first attempt took the release
+// of the second one, which is lost with the connection, for confirmed.
+TEST_F(WebSocketEndpoint, LateEndOfTheAttemptBeforeDoesNotConfirmTheNextRelease) {
+  run_endpoints(usual_settings());
+  WebSocketPeer& first = connect_endpoint(kFirst);
+  give_up_first_attempt(first, kCall);
+  settle_at(*core_, base::now() + 2 * kGuard);
+  expect_set_up(first, kCall);
+  give_up(first, kCall, 1);
+  first.send(about("ended", kCall, R"(,"cause":34)"));
+  first.far.close();
+  ASSERT_TRUE(first.await_over());
+  WebSocketPeer& next = connect_endpoint(kFirst);
+  expect_release(next, kCall);
+}
+
 // An attempt that was given up, and the next one of its call, which waits for the endpoint to read.
 class WebSocketWaitingSetUp : public WebSocketEndpoint {
  protected:
   void SetUp() override {
     run_endpoints(usual_settings());
     endpoint_ = &connect_endpoint(kFirst);
-    request(kCall, 8s);
-    expect_set_up(*endpoint_, kCall);
-    core_->attempt_failed(kCall, 0, AttemptOutcome::timeout);
+    give_up_first_attempt(*endpoint_, kCall);
     const Time given_up = base::now();
-    settle(*core_);
-    expect_message(*endpoint_, {"give-up", id_text(kCall)});
     fill_connection();
     settle_at(*core_, given_up + kGuard + 50ms);
     ASSERT_TRUE(endpoint_->near->blocked());
--- a/tests/membership/open_attempt_test.cpp
+++ b/tests/membership/open_attempt_test.cpp
@@ -31,20 +31,26 @@
   EXPECT_EQ(attempt.end_meaning(), EndMeaning::present);
   EXPECT_EQ(releases.size(), 1U) << "another call's";
 }
-TEST(OpenAttempt, EndIsAmbiguousAfterAReleaseThatMayBeUnread) {
-  PendingReleases releases = releases_of(kCall);
+// The attempt after one whose release is in `releases`.
+OpenAttempt next_after(PendingReleases& releases) {
   OpenAttempt attempt(1);
   attempt.transmitted(kCall, releases);
+  return attempt;
+}
+TEST(OpenAttempt, EndIsAmbiguousAfterAReleaseThatMayBeUnread) {
+  PendingReleases releases = releases_of(kCall);
+  const OpenAttempt attempt = next_after(releases);
   EXPECT_TRUE(attempt.owns_answer());
   EXPECT_EQ(attempt.end_meaning(), EndMeaning::ambiguous);
+  EXPECT_EQ(attempt.earlier(), PendingReleases::EarlierAttempt::open);
   EXPECT_EQ(releases.size(), 0U) << "sent again, it would end the present attempt";
 }
 TEST(OpenAttempt, EndIsThePresentOnesAfterAReleaseThatWasRead) {
   PendingReleases releases = releases_of(kCall);
   releases.peer_active(kGivenUp + 1s);
-  OpenAttempt attempt(1);
-  attempt.transmitted(kCall, releases);
+  const OpenAttempt attempt = next_after(releases);
   EXPECT_EQ(attempt.end_meaning(), EndMeaning::present);
+  EXPECT_EQ(attempt.earlier(), PendingReleases::EarlierAttempt::ended);
 }
 
 }  // namespace
--- a/tests/membership/pending_releases_test.cpp
+++ b/tests/membership/pending_releases_test.cpp
@@ -41,6 +41,17 @@
   EXPECT_EQ(ended(r, 0s), "13");
 }
 
+// Guards against a call that an endpoint goes on holding: the end of the attempt before took the release of
+// the present one for confirmed.
+TEST(Releases, ReportedEndConfirmsTheReleaseUnlessItMayBeOfAnEarlierAttempt) {
+  PendingReleases r;
+  r.add(CallId{1}, "a", at(0s));
+  r.add(CallId{2}, "b", at(0s), PendingReleases::EarlierAttempt::open);
+  r.end_reported(CallId{1});
+  r.end_reported(CallId{2});
+  EXPECT_EQ(ended(r, 0s), "b");
+}
+
 TEST(Releases, WithoutAMessageTheyStayPendingOrExpireAsConfigured) {
   PendingReleases office;
   office.add(CallId{1}, "a", at(0s));
