--- a/review/common-2/bulletin.h
+++ b/review/common-2/bulletin.h
@@ -27,7 +27,7 @@
 class Bulletin {
  public:
   Bulletin(Loop& loop, Record& record) : loop_(loop), record_(record) {
-    listener_ = listen_at(0);
+    listener_ = listen_at(free_port());
     port_ = port_of(listener_);
     loop_.listen(listener_, [this](ConnPtr conn) { accepted(std::move(conn)); });
     beat();
--- a/review/common-2/net.h
+++ b/review/common-2/net.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -87,16 +88,22 @@
   ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
   return ntohs(at.sin_port);
 }
-// A port that nobody listens on now.
+// A port that nobody listens on now, for TCP and UDP. Below the ports of outgoing connections, one of which
+// could take it before the program under test does.
 inline std::uint16_t free_port() {
-  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  const sockaddr_in at = loopback(0);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0) cannot_run("no free port");
-  const std::uint16_t port = port_of(fd);
-  ::close(fd);
-  return port;
+  constexpr int kFirst = 12000, kPorts = 18000;
+  static std::random_device random;
+  for (int tries = 0; tries < 200; ++tries) {
+    const sockaddr_in at = loopback(static_cast<std::uint16_t>(kFirst + random() % kPorts));
+    bool free = true;
+    for (const int kind : {SOCK_STREAM, SOCK_DGRAM}) {
+      const int fd = ::socket(AF_INET, kind | SOCK_CLOEXEC, 0);
+      free = free && ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
+      ::close(fd);
+    }
+    if (free) return ntohs(at.sin_port);
+  }
+  cannot_run("no free port");
 }
 // Connects at once or not at all: on loopback the kernel answers a connect immediately.
 inline int connect_to(std::uint16_t port) {
