Review: the description of a call names a loopback address

Nothing was ever sent there; it is text that the session controller passes on.

Change: 127.0.0.1 in its place. The checks and bounds are as they were.

--- a/review/common-2/caller.h
+++ b/review/common-2/caller.h
@@ -91,7 +91,7 @@
     record_.line("caller %s sends INVITE %s, patience %d ms", name_.c_str(), id.c_str(), patience_ms);
     calls[id];
     conn_->send(invite(id, subject, patience_ms,
-                       id + "\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", dest));
+                       id + "\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", dest));
   }
   void release(const std::string& id) {
     record_.line("caller %s sends BYE %s", name_.c_str(), id.c_str());
