Collect releases for as long as calls of a forgotten connection stand

Cause: the link bounded the collecting connections by the time of bytes in flight and did not know whether calls of the connection still stood. The core did.

Change: the core tells its backends the earliest connection with an established call; the link opens a collecting connection every 2 s while a call of a connection stands that it no longer reads and that the office may consider open. That covers connections that gave way and those that we closed too.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -81,17 +81,35 @@
   record.phase = Phase::ended;
   --established_calls_;
   record.answer = {};
-  change_established_count(record.office, -1);
+  uncount_established(record);
   retain_ended(record);
 }
 
-// Notifies the backend of an office's first established call and of the end of its last one.
-void Core::change_established_count(ServerId office, int change) {
-  int& established = established_at_office_[office];
-  established += change;
-  if ((established == 1 && change > 0) || established == 0)
-    backend_->keep_connection(office, established > 0);
-  if (established == 0) established_at_office_.erase(office);
+// Notifies the backend of an office's first established call, and of the earliest connection of all.
+void Core::count_established(const Record& record) {
+  auto& by_connection = established_at_office_[record.office];
+  const bool first = by_connection.empty();
+  const bool earliest = first || record.connection < by_connection.begin()->first;
+  ++by_connection[record.connection];
+  if (first) backend_->keep_connection(record.office, true);
+  if (earliest) backend_->earliest_connection_changed(record.office, record.connection);
+}
+
+// Notifies the backend of the end of an office's last established call, or of the last one on its earliest
+// connection.
+void Core::uncount_established(const Record& record) {
+  const auto office = established_at_office_.find(record.office);
+  auto& by_connection = office->second;
+  const auto connection = by_connection.find(record.connection);
+  if (--connection->second > 0) return;
+  const bool was_earliest = connection == by_connection.begin();
+  by_connection.erase(connection);
+  if (by_connection.empty()) {
+    established_at_office_.erase(office);
+    backend_->keep_connection(record.office, false);
+  } else if (was_earliest) {
+    backend_->earliest_connection_changed(record.office, by_connection.begin()->first);
+  }
 }
 
 // The office's process has died or its machine is gone: drops its calls and notifies their callers.
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -139,7 +139,8 @@
   [[nodiscard]] std::vector<CallId> calls_at(ServerId office, ConnectionNumber last) const;
   void drop_call(Record& record);
   void apply_list(bool complete, const std::vector<OfficeEntry>& offices);
-  void change_established_count(ServerId office, int change);
+  void count_established(const Record& record);
+  void uncount_established(const Record& record);
   void update_office_metrics();
   void notify_observer(ServerId office, OfficeObserver::OfficeObservation what) const;
 
@@ -168,7 +169,8 @@
   std::multimap<Time, Timer> timers_;
   std::deque<std::pair<Time, CallId>> retained_;  // ended calls and when to erase their records
   membership::Roster roster_;
-  std::map<ServerId, int> established_at_office_;
+  // The number of established calls by office, and by the connection on which it answered.
+  std::map<ServerId, std::map<ConnectionNumber, int>> established_at_office_;
   base::Thread thread_;
 };
 
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -39,6 +39,9 @@
   virtual bool still_waiting(CallId /*call*/) { return true; }
 };
 
+// The connections to an office, numbered from 1 as they came up; 0: the backend does not tell them apart.
+enum class ConnectionNumber : std::uint64_t {};
+
 struct SetUp {
   CallId call{};
   std::uint32_t attempt = 0;
@@ -62,6 +65,9 @@
   virtual void cancel(ServerId office, CallId call, std::uint32_t attempt) = 0;
   virtual void release(ServerId office, CallId call) = 0;
   virtual void keep_connection(ServerId office, bool calls_established) = 0;
+  // The earliest of the connections on which the office answered calls that are still established. Called
+  // when it changes.
+  virtual void earliest_connection_changed(ServerId /*office*/, ConnectionNumber /*earliest*/) {}
 };
 
 // Receives what attempts and dialling show about offices, on the core's thread; must not block.
@@ -80,9 +86,6 @@
   CallerFrontend* frontend = nullptr;
 };
 
-// The connections to an office, numbered from 1 as they came up; 0: the backend does not tell them apart.
-enum class ConnectionNumber : std::uint64_t {};
-
 // An office's message that ends an attempt or an established call.
 struct OfficeRelease {
   ServerId office{};
--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -99,6 +99,9 @@
   void keep_connection(ServerId office, bool calls_established) override {
     backend_of(office).keep_connection(office, calls_established);
   }
+  void earliest_connection_changed(ServerId office, ConnectionNumber earliest) override {
+    backend_of(office).earliest_connection_changed(office, earliest);
+  }
 
  private:
   struct Route {
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -52,7 +52,7 @@
   ++counts_.established;
   metrics_.count_request(r->request.arrival.call_class, figures::Outcome::success);
   notify_observer(office, OfficeObserver::OfficeObservation::answered);
-  change_established_count(office, +1);
+  count_established(*r);
   events_.emplace_back(CallEstablished{call, attempt.number, office, now_ - attempt.sent_at});
   if (r->request.frontend->established(call, r->answer)) return;
   backend_->release(office, call);  // the caller is unreachable, so the call ends
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -21,7 +21,7 @@
   const bool another = reach_.update(office.entry);
   if (another) pending_releases_.clear();  // the calls ended with the process
   if (another || (address && net::to_text(*address) != net::to_text(address_))) outdated_ = true;
-  if (outdated_ && line_) line_->fd.shut();
+  if (outdated_ && line_) line_->close();
   if (address) address_ = *address;
   if (!reach_.ready()) withdraw_unsent();
   loop_.wake(handler_id_);
@@ -59,11 +59,11 @@
     // Its answer may cross the close, so the release is also sent on the next connection.
     if (line->outbox.blocked()) {
       pending_releases_.emplace_back(call, finish_line(call));
-      return line->fd.shut();
+      return line->close();
     }
     // Held until it must have been read, like a release: an answer that crosses it establishes the call until
     // then.
-    if (!send_release(call, finish_line(call))) return line->fd.shut();
+    if (!send_release(call, finish_line(call))) return line->close();
     if (finishing_) loop_.wake(handler_id_);
   }
   pump(line);
@@ -101,6 +101,11 @@
   wake_if_due_earlier();
 }
 
+void OfficeLink::earliest_connection_changed(core::ConnectionNumber earliest) {
+  const std::lock_guard hold(lock_);
+  earliest_ = earliest;
+}
+
 void OfficeLink::handle_event(bool ready) {
   std::shared_ptr<Line> line;
   {
@@ -132,8 +137,7 @@
 // set-ups are checked again.
 void OfficeLink::pump(const std::shared_ptr<Line>& line) {
   const auto how = line->outbox.flush(line->fd);
-  if (how == net::Outbox::Flushed::broken)
-    line->fd.shut();  // the loop detects it and reports the open set-ups
+  if (how == net::Outbox::Flushed::broken) line->close();  // the loop detects it and reports the open set-ups
   if (how == net::Outbox::Flushed::blocked) loop_.wake(handler_id_);
 }
 
@@ -144,7 +148,7 @@
       line->outbox.push(start_line(open.set_up, open.class_name, left_ms), open.tag,
                         [this, call, attempt = open.attempt.number(), on = line.get(),
                          left_ms](std::string& text) { return may_leave(call, attempt, on, left_ms, text); });
-  if (!queued) line->fd.shut();  // the loop reports the open set-ups
+  if (!queued) line->close();  // the loop reports the open set-ups
 }
 
 // Makes the last check as the set-up leaves the queue, since drains count from its first byte. Must be called
@@ -185,12 +189,16 @@
   for (;;) {
     const std::string_view held = buffer_.view();
     const std::size_t end = held.find('\n');
-    if (end == std::string_view::npos) return !buffer_.full();
+    if (end == std::string_view::npos) {
+      if (buffer_.full()) line_->close();
+      return !buffer_.full();
+    }
     // After a malformed line nothing on this connection can be trusted: its open set-ups have failed.
     try {
       take(held.substr(0, end));
     } catch (const std::runtime_error& error) {
       net::log_line("office " + net::office_name(id_) + " closed: " + error.what());
+      line_->close();
       return false;
     }
     buffer_.take(end + 1);
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,7 @@
   void give_up(CallId call, std::uint32_t attempt);
   void release(CallId call);
   void keep(bool calls_established);
+  void earliest_connection_changed(core::ConnectionNumber earliest);  // of the calls established
   // Shutdown: no set-up is sent from now on, each connection is closed on our side once possible, and read
   // until the office has closed it too.
   void finish();
@@ -53,9 +55,14 @@
   // One connection. Writers share ownership, so that the descriptor is not reused while they write.
   struct Line {
     Line(net::Fd up, core::ConnectionNumber its_number) : fd(std::move(up)), number(its_number) {}
+    void close() {
+      closed_here = true;
+      fd.shut();
+    }
     net::Fd fd;
     net::Outbox outbox;
     const core::ConnectionNumber number;
+    std::atomic<bool> closed_here{false};  // by us, so that the office may still consider it open
   };
   // A connection no longer used: our direction is closed, and it is read until the office closes it, or
   // `until`.
@@ -120,6 +127,8 @@
   void quiet_checked(net::Dial how, Time at);
   void collected(net::Dial how);
   [[nodiscard]] Time collect_at() const;
+  void forget(core::ConnectionNumber unread, Time collect_at);
+  [[nodiscard]] Time next_collection(Time at) const;
   void end();
   void arm();
   void wake_if_due_earlier();
@@ -148,6 +157,8 @@
   net::Fd second_;           // second connection, beside a quiet one
   bool collecting_ = false;  // the second one is for releases that may be lost; the first is not quiet
   Time collect_again_at_ = net::kNever;   // set when a connection could not be read to its end
+  core::ConnectionNumber forgotten_{};    // the latest connection that was not read to its end
+  core::ConnectionNumber earliest_{};     // on which a call was answered that is still established
   Time dial_by_{};                        // deadline of either dial
   Time shortage_until_{};                 // no dial before, after a shortage on this host
   Time shortage_deadline_ = net::kNever;  // when waiting set-ups are returned unsent
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -83,7 +83,7 @@
 void OfficeLink::up(net::Fd fd) {
   line_ = make_line(std::move(fd));
   buffer_ = {};
-  collect_again_at_ = net::kNever;  // this connection collects
+  collect_again_at_ = next_collection(net::now());  // this connection collects
   shortage_deadline_ = net::kNever;
   reach_.connected(net::now());
   core_.reachability_changed(id_, true);
@@ -118,6 +118,7 @@
   } else {
     loop_.unwatch(line->fd);
     line->fd.shut();
+    if (line->closed_here) forget(line->number, collect_again_at_);
   }
   if (outdated_) {
     if (second_) loop_.unwatch(second_);
@@ -175,6 +176,7 @@
   const auto outcome = reach_.probed(to_dialled(how), at);
   if (outcome == membership::Reachability::ProbeResult::wait) return;
   const bool replaced = outcome == membership::Reachability::ProbeResult::replaced;
+  if (!replaced) line_->close();
   drop(replaced ? Rest::unread : Rest::read);
   if (replaced) return up(std::move(fresh));
   if (outcome == membership::Reachability::ProbeResult::drop) return;
--- a/src/platform/link_leaving.cpp
+++ b/src/platform/link_leaving.cpp
@@ -11,9 +11,12 @@
 // Within kLeavingTimeout, input that was in flight when the connection was left has arrived, unless the
 // connection is partitioned: then the office may consider it open and send releases on it, which it repeats
 // on the next connection opened. A connection is opened for these after kCollectDelay, and again after
-// doubling intervals, until the office has closed the one that was left.
+// doubling intervals, until the office has closed the one that was left. Once that is forgotten, one is
+// opened at kCollectInterval for as long as calls are established that were answered on it: several within
+// the time in which an office's release must have reached the caller.
 constexpr Duration kLeavingTimeout = std::chrono::seconds(8);
 constexpr Duration kCollectDelay = std::chrono::seconds(1);
+constexpr Duration kCollectInterval = std::chrono::seconds(2);
 constexpr std::size_t kMaxLeaving = 2;  // simultaneously, beside the line in use and the one being dialled
 
 }  // namespace
@@ -39,7 +42,7 @@
   if (oldest == leaving_.end()) {
     oldest = leaving_.begin();
   } else {
-    collect_again_at_ = std::min(collect_again_at_, at + kCollectDelay);
+    forget(oldest->line->number, std::min(collect_again_at_, at + kCollectDelay));
   }
   loop_.unwatch(oldest->line->fd);
   leaving_.erase(oldest);
@@ -48,9 +51,24 @@
 void OfficeLink::drop_leaving() {
   for (const Leaving& left : leaving_) loop_.unwatch(left.line->fd);
   leaving_.clear();
+  forgotten_ = {};
   collect_again_at_ = net::kNever;
 }
 
+// A connection is no longer read, and the office may consider it open. `collect_at`: when another is opened
+// for the releases that may be lost on it.
+void OfficeLink::forget(core::ConnectionNumber unread, Time collect_at) {
+  forgotten_ = std::max(forgotten_, unread);
+  collect_again_at_ = collect_at;
+}
+
+// When another connection is opened after one at `at`, for releases of calls that end later.
+Time OfficeLink::next_collection(Time at) const {
+  const bool any_forgotten = forgotten_ != core::ConnectionNumber{};
+  const bool awaited = any_forgotten && reach_.calls_established() && earliest_ <= forgotten_;
+  return awaited ? at + kCollectInterval : net::kNever;
+}
+
 // When another connection is opened for releases that may be lost on the connections being left.
 Time OfficeLink::collect_at() const {
   if (!reach_.calls_established()) return net::kNever;
@@ -63,8 +81,8 @@
 void OfficeLink::collected(net::Dial how) {
   const Time at = net::now();
   collecting_ = false;
-  collect_again_at_ =
-      how == net::Dial::up || collect_again_at_ == net::kNever ? net::kNever : at + kCollectDelay;
+  const bool missed = how != net::Dial::up && collect_again_at_ != net::kNever;
+  collect_again_at_ = missed ? at + kCollectDelay : next_collection(at);
   for (Leaving& left : leaving_) {
     if (left.collect_at <= at) left.collect_at = at + (at - left.left_at);
   }
@@ -77,7 +95,7 @@
   std::erase_if(leaving_, [this](Leaving& left) {
     const RestRead how = read_rest(left);
     if (how == RestRead::more && net::now() < left.until) return false;
-    if (how != RestRead::ended && left.collect_at != net::kNever) collect_again_at_ = Time{};
+    if (how != RestRead::ended && left.collect_at != net::kNever) forget(left.line->number, Time{});
     loop_.unwatch(left.line->fd);
     return true;
   });
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -57,6 +57,9 @@
 void Offices::keep_connection(ServerId office, bool calls_established) {
   if (const auto to = link(office)) to->keep(calls_established);
 }
+void Offices::earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) {
+  if (const auto to = link(office)) to->earliest_connection_changed(earliest);
+}
 
 void Offices::finish() {
   const std::lock_guard hold(lock_);
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -24,6 +24,7 @@
   void cancel(ServerId office, CallId call, std::uint32_t attempt) override;
   void release(ServerId office, CallId call) override;
   void keep_connection(ServerId office, bool calls_established) override;
+  void earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) override;
 
   // Shutdown (OfficeLink::finish): set-ups are returned unsent from now on.
   void finish();
--- a/tests/crossings/endpoint_world.h
+++ b/tests/crossings/endpoint_world.h
@@ -96,6 +96,9 @@
   void keep_connection(ServerId office, bool calls_established) override {
     of(office).keep(calls_established);
   }
+  void earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) override {
+    of(office).earliest_connection_changed(earliest);
+  }
 
   // The core has handed the call to the link there, which has written it if it could.
   bool await_start(ServerId office, CallId call) {
