Write zone records so that the next start can read them

Cause: the writer put each octet of a character string into the file as it was, and the reader knew no \DDD (RFC 1035, 5.1). The same on related paths: TTLs and SOA times above were written and refused by the reader, and a label with a dot came back as two labels.

Change: octets other than printable ASCII are written as \DDD and read back; a TTL with the highest bit counts as 0 (RFC 2181, 8), SOA times have 32 bits, a label with a dot is malformed.

--- a/src/dns/lexer.cpp
+++ b/src/dns/lexer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "dns/numbers.h"
+
 namespace reeltack::dns {
 
 std::optional<Entry> Lexer::next() {
@@ -48,14 +50,27 @@
   Token out{"", true};
   for (++at_; at_ < text_.size() && text_[at_] != '"'; ++at_) {
     if (text_[at_] == '\n') fail("a quoted string is not closed");
-    if (text_[at_] == '\\' && at_ + 1 < text_.size()) ++at_;
-    out.text += text_[at_];
+    out.text += text_[at_] == '\\' ? escaped() : text_[at_];
   }
   if (at_ >= text_.size()) fail("a quoted string is not closed");
   ++at_;
   return out;
 }
 
+// The octet that an escape stands for: \DDD, or a character that is no digit. Moves to the last character of
+// it.
+char Lexer::escaped() {
+  constexpr std::size_t kDigits = 3;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  ++at_;
+  if (at_ >= text_.size() || text_[at_] == '\n') fail("a quoted string is not closed");
+  if (!is_digit(text_[at_])) return text_[at_];
+  const auto octet = parse_integer(text_.substr(at_, kDigits), 0xff);
+  if (!octet || at_ + kDigits > text_.size()) fail("malformed escape (\\ and three digits, 000 to 255)");
+  at_ += kDigits - 1;
+  return static_cast<char>(*octet);
+}
+
 Token Lexer::plain_token() {
   const std::size_t end = std::min(text_.find_first_of(" \t\r\n;()\"", at_), text_.size());
   Token out{std::string(text_.substr(at_, end - at_)), false};
--- a/src/dns/lexer.h
+++ b/src/dns/lexer.h
@@ -41,6 +41,7 @@
 
  private:
   Token quoted_string();
+  char escaped();
   Token plain_token();
   std::string_view text_;
   std::string file_;
--- a/src/dns/master_file.cpp
+++ b/src/dns/master_file.cpp
@@ -52,7 +52,7 @@
       name(0);
       name(1);
       for (std::size_t i = 2; i < 7; ++i) {
-        const auto n = i == 2 ? parse_integer(token(i), 0xffffffff) : parse_seconds(token(i));
+        const auto n = i == 2 ? parse_integer(token(i), 0xffffffff) : parse_seconds(token(i), kMaxInterval);
         if (!n) fail("malformed number '" + token(i) + "'");
         append32(out, *n);
       }
--- a/src/dns/name.cpp
+++ b/src/dns/name.cpp
@@ -66,7 +66,10 @@
       if (!jumped) at = here + 1;
       return out.empty() ? std::optional<std::string>(".") : read_name(out, ".");
     }
-    out += message.substr(here + 1, n);
+    const std::string_view label = message.substr(here + 1, n);
+    if (label.find('.') != std::string_view::npos)
+      return std::nullopt;  // has no form in text without escapes
+    out += label;
     out += '.';
     here += 1 + n;
   }
--- a/src/dns/numbers.h
+++ b/src/dns/numbers.h
@@ -16,8 +16,10 @@
 std::uint32_t read_number(std::string_view data, std::size_t at, std::size_t bytes);
 // Decimal digits only; nothing: anything else, or above `max`.
 std::optional<std::uint64_t> parse_integer(std::string_view text, std::uint64_t max);
+inline constexpr std::uint64_t kMaxTtl = 0x7fffffff;       // seconds; RFC 2181, 8
+inline constexpr std::uint64_t kMaxInterval = 0xffffffff;  // seconds; of the fields of an SOA record
 // A time in seconds, as plain digits (RFC 1035) or with the common unit letters: "1h30m". Nothing: malformed,
-// or above the maximum TTL (RFC 2181, 8).
-std::optional<std::uint64_t> parse_seconds(std::string_view text);
+// or above `max`.
+std::optional<std::uint64_t> parse_seconds(std::string_view text, std::uint64_t max = kMaxTtl);
 
 }  // namespace reeltack::dns
--- a/src/dns/record.cpp
+++ b/src/dns/record.cpp
@@ -11,6 +11,27 @@
   return kTypes;
 }
 
+namespace {
+
+// A character string within quotes, with octets other than printable ASCII as \DDD (RFC 1035, 5.1).
+std::string quote(std::string_view octets) {
+  std::string out = "\"";
+  for (const char c : octets) {
+    const auto octet = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      out.append({'\\', c});
+    } else if (octet >= 0x20 && octet < 0x7f) {
+      out += c;
+    } else {
+      const std::string decimal = std::to_string(octet);
+      out.append("\\").append(3 - decimal.size(), '0').append(decimal);
+    }
+  }
+  return out += '"';
+}
+
+}  // namespace
+
 std::string data_to_text(std::uint16_t type, const std::string& data) {
   std::size_t at = 0;
   const auto number = [&](std::size_t bytes) {
@@ -23,12 +44,7 @@
   } else if (type == kTxt) {
     while (at < data.size()) {
       const std::size_t n = read_number(data, at, 1);
-      out += out.empty() ? "\"" : " \"";
-      for (const char c : data.substr(at + 1, n)) {
-        if (c == '"' || c == '\\') out += '\\';
-        out += c;
-      }
-      out += '"';
+      out += (at > 0 ? " " : "") + quote(data.substr(at + 1, n));
       at += n + 1;
     }
   } else {
--- a/src/dns/update_message.cpp
+++ b/src/dns/update_message.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "dns/numbers.h"
 #include "net/net.h"
 
 namespace reeltack::dns {
@@ -125,7 +126,8 @@
   } else if (alias != (r.type == kCname) && zone.has_name(r.name)) {
     return;  // a CNAME excludes other records
   }
-  zone.add(r.name, r.type, r.ttl, *r.data);
+  const std::uint32_t ttl = r.ttl > kMaxTtl ? 0 : r.ttl;  // RFC 2181, 8
+  zone.add(r.name, r.type, ttl, *r.data);
 }
 
 }  // namespace
