Let the zone's file own the zone while two processes serve it

Cause: during a replacement the kernel deals updates to both processes; each answered from the zone of its own start and wrote the whole file. Nothing told the other.

Change: an update is taken under a lock of the file, on the zone that the file holds then; each process looks at the file every 100 ms and takes over what changed; the port is yielded at SIGTERM like the callers'. A file that can't be read or locked refuses the update.

--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -1,8 +1,7 @@
 #include "dns/updates.h"
 
 #include <algorithm>
-
-#include "base/replace_file.h"
+#include <atomic>
 
 namespace reeltack::dns {
 namespace {
@@ -10,8 +9,9 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kIdleTimeout = 30s;
-constexpr auto kFirstReminder = 1min;  // log intervals while the file cannot be written
-constexpr auto kLastReminder = 1h;
+constexpr std::size_t kMaxConnections = 16;
+// Within half of the time in which an endpoint that has left the zone must get nothing new.
+constexpr Duration kFollowInterval = 100ms;
 
 }  // namespace
 
@@ -42,17 +42,43 @@
   UpdateServer& updates_;
 };
 
+// Looks at the file at intervals, on the listener's loop.
+class UpdateServer::Follower final : public net::EventHandler {
+ public:
+  Follower(UpdateServer& updates, net::Loop& loop) : updates_(updates), loop_(loop) {}
+  void handle_event(bool /*ready*/) override {
+    if (id == 0) return;  // woken again once it is known
+    updates_.follow();
+    loop_.due(id, net::now() + kFollowInterval);
+  }
+  std::atomic<net::Loop::Id> id{0};
+
+ private:
+  UpdateServer& updates_;
+  net::Loop& loop_;
+};
+
 UpdateServer::UpdateServer(core::OfficeList& list, Zone zone, std::string service, std::string file)
     : list_(list),
       service_(std::move(service)),
       file_(std::move(file)),
-      outage_(kFirstReminder, kLastReminder),
       zone_(std::move(zone)),
-      listener_(16, [this](net::Fd fd) { return std::make_shared<UpdateConnection>(*this, std::move(fd)); }) {
+      listener_(kMaxConnections,
+                [this](net::Fd fd) { return std::make_shared<UpdateConnection>(*this, std::move(fd)); }) {
   const std::lock_guard hold(lock_);
   publish();
 }
 
+void UpdateServer::open(const net::Address& at) {
+  listener_.open(at);
+  if (file_.in_memory()) return;
+  const auto follower = std::make_shared<Follower>(*this, listener_.loop());
+  follower->id = listener_.loop().add(follower);
+  listener_.loop().wake(follower->id);  // its first event may have come before its id
+}
+
+void UpdateServer::yield() { listener_.yield(kMaxConnections); }
+
 std::string UpdateServer::answer(std::string_view message) {
   const auto flags = static_cast<std::uint32_t>(net::big_endian(message, 2, 2));
   const std::uint32_t opcode = flags >> 11U & 15U;
@@ -61,16 +87,7 @@
     code = kFormErr;         // a response, not a request
   } else if (opcode == 5) {  // UPDATE
     const std::lock_guard hold(lock_);
-    Zone next = zone_;
-    bool changed = false;
-    code = apply_update(next, message, changed);
-    // RFC 2136, 3.5: an update must be stored before it is confirmed.
-    if (changed && !store(next)) {
-      code = kServFail;
-    } else if (changed) {
-      zone_ = std::move(next);
-      publish();
-    }
+    code = update(message);
   }
   std::string out(message.substr(0, 2));
   const std::uint32_t answered = 0x8000U | opcode << 11U | static_cast<std::uint32_t>(code);
@@ -79,6 +96,38 @@
   return out.append(8, '\0');  // the answer carries no sections
 }
 
+// Requires the lock. Another process may have changed the zone: its prerequisites are held against the
+// file's.
+int UpdateServer::update(std::string_view message) {
+  const auto exclusive = file_.lock();
+  if (!exclusive || !take_over()) return kServFail;
+  Zone next = zone_;
+  bool changed = false;
+  const int code = apply_update(next, message, changed);
+  if (!changed) return code;
+  // RFC 2136, 3.5: an update must be stored before it is confirmed.
+  if (!file_.store(next)) return kServFail;
+  zone_ = std::move(next);
+  publish();
+  return code;
+}
+
+void UpdateServer::follow() {
+  const std::lock_guard hold(lock_);
+  take_over();
+}
+
+// Requires the lock. False: the file cannot be read.
+bool UpdateServer::take_over() {
+  std::optional<Zone> read;
+  const ZoneFile::Change change = file_.read(read);
+  if (change == ZoneFile::Change::changed && read->text() != zone_.text()) {
+    zone_ = std::move(*read);
+    publish();
+  }
+  return change != ZoneFile::Change::unreadable;
+}
+
 // Requires the lock. An endpoint that left the zone is listed as draining, never just omitted.
 void UpdateServer::publish() {
   std::vector<std::string> missing;
@@ -97,33 +146,4 @@
   list_.update(core::Source::zone, false, std::move(changes));
 }
 
-// Requires the lock. An outage is logged when it begins, at intervals while it lasts, and when it ends.
-bool UpdateServer::store(const Zone& zone) {
-  if (file_.empty()) return true;
-  std::string reason;
-  const bool stored = base::replace_file(file_, zone.text(), reason);
-  const auto now = std::chrono::steady_clock::now();
-  const auto lasted = [&] {
-    return std::to_string(
-               std::chrono::duration_cast<std::chrono::milliseconds>(outage_.lasted(now)).count()) +
-           " ms, " + std::to_string(outage_.failures()) + " updates refused";
-  };
-  if (stored) {
-    if (outage_.on()) net::log_line("zone: " + file_ + " is written again after " + lasted());
-    outage_.ended();
-    return true;
-  }
-  switch (outage_.failed(now)) {
-    case base::Outage::Report::begun:
-      net::log_line("zone: updates are refused, they cannot be kept: " + reason);
-      break;
-    case base::Outage::Report::lasting:
-      net::log_line("zone: updates are still refused for " + lasted() + ": " + reason);
-      break;
-    case base::Outage::Report::nothing:
-      break;
-  }
-  return false;
-}
-
 }  // namespace reeltack::dns
--- a/src/dns/updates.h
+++ b/src/dns/updates.h
@@ -3,15 +3,15 @@
 // Holds the zone once it is loaded, applies each update completely or not at all, writes the zone's file, and
 // publishes the zone's endpoints to the office list. An endpoint that is removed from the zone is listed as
 // draining. An update is confirmed once the zone's file is durable, and refused (SERVFAIL) if the file cannot
-// be written; the zone then stays as it was. Queries are not answered. Updates carry no signature, so the
-// address that open() is given must accept connections of this host only. One update is applied by
-// dns/update_message.h.
+// be written; the zone then stays as it was. While two processes serve the zone, each follows what the other
+// has written (dns/zone_file.h). Queries are not answered. Updates carry no signature, so the address that
+// open() is given must accept connections of this host only. One update is applied by dns/update_message.h.
 #pragma once
 
-#include "base/outage.h"
 #include "core/office_list.h"
 #include "dns/update_message.h"
 #include "dns/zone.h"
+#include "dns/zone_file.h"
 #include "net/connection_listener.h"
 #include "net/net.h"
 
@@ -19,20 +19,25 @@
 
 class UpdateServer {
  public:
-  // Publishes the zone's endpoints at once. `file`: where changes are stored; empty: nowhere.
+  // Publishes the zone's endpoints at once. `file`: where changes are stored, and those of other processes
+  // are read; empty: nowhere.
   UpdateServer(core::OfficeList& list, Zone zone, std::string service, std::string file);
-  void open(const net::Address& at) { listener_.open(at); }  // throws std::runtime_error
+  void open(const net::Address& at);  // throws std::runtime_error
+  // Hands new connections over to a successor process, if one listens (net::ConnectionListener::yield).
+  void yield();
   void close_all() { listener_.close_all(); }
   std::string answer(std::string_view message);  // returns the answer to one complete message
+  void follow();                                 // takes over what another process has written
 
  private:
+  class Follower;
+  int update(std::string_view message);
+  bool take_over();
   void publish();
-  bool store(const Zone& zone);
   core::OfficeList& list_;
   const std::string service_;
-  const std::string file_;
   std::mutex lock_;
-  base::Outage outage_;  // of writing the zone's file
+  ZoneFile file_;
   Zone zone_;
   std::map<ServerId, core::OfficeEntry> published_;
   net::ConnectionListener listener_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -170,6 +170,7 @@
   net::log_line("asked to end: answering what was taken");
   sip.yield(node.limits.sockets / kYieldedShare);
   websocket.yield(fronts.websocket_connections);
+  if (zone) zone->yield();
   shut_down(core, offices, sip, &websocket, shutdown_times(node.settings));
   management.close();
   operators.close();
--- a/src/net/connection_listener.h
+++ b/src/net/connection_listener.h
@@ -26,6 +26,7 @@
   ConnectionListener& operator=(const ConnectionListener&) = delete;
   // Starts listening and the loop's thread. Throws std::runtime_error.
   void open(const Address& at);
+  [[nodiscard]] Loop& loop() { return *loop_; }  // from open() on, for handlers that share its thread
   // Hands new connections over to a successor process that listens on the same port, if there is one. The
   // successor shares the limits of this host, so connections above `max_connections` are evicted where
   // possible.
