Bound the memory of requests that wait for an answer, and share it

One connection that sent set-ups faster than they were answered took the process past its memory limit: 328 MB (15 KB each, offices with 100 lines), 267 MB (small ones under ever new names, offices silent), 159 and 100 MB over WebSocket, where 32 MB were set.

Cause: nothing bounded the open requests of a connection or of the process, and each stands in the front, the core and the module for as long as its caller waits.

Change: the core gives requests an eighth of the memory, by a dynamic threshold (limits::MemoryShares): a connection may hold as much as is free, so that there is always room for another's.

--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -11,6 +11,7 @@
   const CallId call = request.arrival.call;
   if (calls_.contains(call)) {  // the earlier call with this id is not affected
     --open_calls_;
+    request_memory_.give_back(request);
     request.frontend->rejected(call, FailureReason::duplicate, {});
     return;
   }
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -64,6 +64,7 @@
 // Retains the record of an ended call for a while, without the data that only an open call needs.
 void Core::retain_ended(Record& record) {
   cancel_expiry_timer(record);
+  request_memory_.give_back(record.request);
   base::free_text(record.request.description);
   retained_.emplace_back(now_ + kRetention, record.request.arrival.call);
   while (!retained_.empty() && (retained_.size() > kMaxRetained || retained_.front().first <= now_)) {
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -22,6 +22,7 @@
 
 #include "base/base.h"
 #include "core/interfaces.h"
+#include "core/request_memory.h"
 #include "figures/figures.h"
 #include "membership/roster.h"
 #include "reeltack/controller.h"
@@ -40,8 +41,12 @@
   void start(OfficeBackend& backend, CallerFrontend* unknown_calls = nullptr);
   void stop();  // ends the core's thread
 
+  // Bounds the memory of requests that are not answered yet; before the first request.
+  void limit_request_memory(std::size_t bytes) { request_memory_.limit(bytes); }
+
   // For frontends.
-  void request(Request request);
+  // False: there is no memory for it, and the frontend answers it as refused.
+  bool request(Request request);
   // A frontend may end its own calls only.
   void cancel(CallId call, const CallerFrontend& frontend);            // the caller no longer waits
   void release(CallId call, const CallerFrontend& frontend);           // the caller ends an established call
@@ -72,7 +77,8 @@
   // Open or established calls. May count a call twice while it is being established.
   [[nodiscard]] std::size_t in_flight() const { return open_calls_ + established_calls_; }
   struct Counts {  // totals for supervision and tests
-    std::atomic<std::uint64_t> requests{0}, established{0}, refused{0}, failed{0}, cancelled{0}, attempts{0};
+    std::atomic<std::uint64_t> requests{0}, established{0}, refused{0}, failed{0}, cancelled{0}, attempts{0},
+        no_memory{0};
   };
   [[nodiscard]] const Counts& counts() const { return counts_; }
   // The settings in effect in the module, and the limit on attempts in effect in the core. They never change.
@@ -150,6 +156,7 @@
   CallerFrontend* unknown_call_frontend_ = nullptr;
   OfficeObserver* observer_ = nullptr;
   Counts counts_;
+  RequestMemory request_memory_;
   figures::Metrics metrics_;
   std::atomic<bool> ready_{false};
   std::atomic<std::size_t> open_calls_{0};
--- a/src/core/inbox.cpp
+++ b/src/core/inbox.cpp
@@ -35,9 +35,15 @@
   if (wake) inbox_changed_.notify_one();
 }
 
-void Core::request(Request request) {
+bool Core::request(Request request) {
+  if (!request_memory_.take(request)) {
+    ++counts_.no_memory;
+    if (request.class_known) metrics_.count_request(request.arrival.call_class, figures::Outcome::busy);
+    return false;
+  }
   ++open_calls_;  // the request must be answered before the program may end
   post([this, r = std::move(request)]() mutable { admit(std::move(r)); });
+  return true;
 }
 void Core::cancel(CallId call, const CallerFrontend& frontend) {
   post([this, call, &frontend] { relay_cancel(call, frontend); });
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "limits/memory_shares.h"
 #include "reeltack/controller.h"
 
 namespace reeltack::core {
@@ -84,6 +85,8 @@
   bool class_known = true;  // false: the core rejects the request
   std::string description;
   CallerFrontend* frontend = nullptr;
+  limits::MemoryShares::Owner source{};  // the connection on which it came; 0: none of its own
+  std::size_t held_bytes = 0;            // of the memory for requests; set by the core
 };
 
 // An office's message that ends an attempt or an established call.
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -46,6 +46,7 @@
   r->office = office;
   r->connection = connection;
   r->answer = std::move(description);
+  request_memory_.give_back(r->request);
   base::free_text(r->request.description);  // no attempt follows
   cancel_expiry_timer(*r);
   ++established_calls_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,6 +35,9 @@
 
 // Usual callers hold a third of the descriptors at the most; after SIGTERM a successor shares the limit.
 constexpr std::size_t kYieldedShare = 3;
+constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
+// Requests that are not answered yet hold an eighth of the memory at the most.
+constexpr std::size_t kRequestMemoryShare = 8;
 // The list that the configuration holds is the module's so soon, whatever the load.
 constexpr Duration kListTaken = 500ms;
 // Before a caller is let in, the fleet has said once which offices may be used.
@@ -98,9 +101,10 @@
     prepared = fleet::prepare(config::read_controllers(fronts.fleet_file, node), node);
 
   // Usual callers hold a third of the descriptors at the most. What others hold beside them must leave the
-  // offices theirs, and a connection takes some 20 KB with its two threads.
+  // offices theirs.
   const std::size_t callers = std::min(node.limits.sockets * 60 / 100, node.limits.memory_mb * 16);
   core::Core core(node.settings, node.seed);
+  core.limit_request_memory(node.limits.memory_mb * kMegabyte / kRequestMemoryShare);
   core::OfficeList list(core);
   platform::Offices offices(core, node.class_names, node.dial_limit);
   ws::Frontend websocket(core, list,
@@ -185,7 +189,7 @@
   net::log_line("ended: " + std::to_string(c.requests) + " requests, " + std::to_string(c.established) +
                 " stood, " + std::to_string(c.refused) + " refused, " + std::to_string(c.failed) +
                 " failed, " + std::to_string(c.cancelled) + " given up, " + std::to_string(c.attempts) +
-                " attempts");
+                " attempts, " + std::to_string(c.no_memory) + " refused for want of memory");
   const auto& d = sip.connections();
   net::log_line("connections: " + std::to_string(d.accepted) + " let in; ended at a limit: " +
                 std::to_string(d.timeout) + " late, " + std::to_string(d.unread) + " left unread, " +
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -14,10 +14,17 @@
 // Reads, of some KB each, of what a broken connection had still delivered.
 constexpr int kMaxFinalReads = 32;
 
+limits::MemoryShares::Owner next_owner() {
+  static std::atomic<std::uint64_t> last{0};
+  return limits::MemoryShares::Owner{++last};
+}
+
 }  // namespace
 
 Peer::Peer(Fd fd, Duration quiet)
-    : fd_(std::move(fd)), patience_(limits::PeerTimeoutSettings{.idle = quiet}, connected_) {}
+    : fd_(std::move(fd)),
+      owner_(next_owner()),
+      patience_(limits::PeerTimeoutSettings{.idle = quiet}, connected_) {}
 
 void Peer::begin(Loop& loop, std::function<void(Peer&)> over) {
   loop_ = &loop;
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <set>
 
+#include "limits/memory_shares.h"
 #include "limits/peer_deadlines.h"
 #include "net/buffers.h"
 #include "net/loop.h"
@@ -45,6 +46,8 @@
   // How it ended: by its far end, by our own orderly end, at a limit (timeout, unread), or by evict() or
   // cut().
   enum class EndReason { peer, local, timeout, unread, evicted, dropped };
+  // Accounts for the memory of its requests.
+  [[nodiscard]] limits::MemoryShares::Owner owner() const { return owner_; }
   [[nodiscard]] EndReason end_reason() const { return end_reason_; }  // valid once over()
 
   // Order of eviction: the first are evicted first; in_use: not at present.
@@ -121,6 +124,7 @@
 
   Fd fd_;
   Outbox outbox_;
+  const limits::MemoryShares::Owner owner_;
   Loop* loop_ = nullptr;
   Loop::Id id_ = 0;
   std::function<void(Peer&)> ended_;
--- a/src/platform/sip.cpp
+++ b/src/platform/sip.cpp
@@ -110,7 +110,9 @@
   }
   request.description = message.body;
   request.frontend = this;
-  if (open_dialogue(from, message, call)) core_.request(std::move(request));
+  request.source = from->owner();
+  if (open_dialogue(from, message, call) && !core_.request(std::move(request)))
+    rejected(call, core::FailureReason::refused, {});
 }
 
 bool SipFrontend::open_dialogue(const std::shared_ptr<SipConnection>& from, const SipMessage& message,
--- a/src/ws/clients.cpp
+++ b/src/ws/clients.cpp
@@ -69,7 +69,8 @@
     from->send(R"({"type":"taken","call":")" + id_text(call) + "\"}");
   }
   from->opened(call);
-  core_.request(std::move(request));
+  request.source = from->owner();
+  if (!core_.request(std::move(request))) rejected(call, FailureReason::refused, {});
 }
 
 // Answers with the state of the call and subscribes this connection to it.
--- a/tests/scenarios/memory_test.cpp
+++ b/tests/scenarios/memory_test.cpp
@@ -1,4 +1,7 @@
 // The memory of the program under clients that send much, within the limits of a small deployment.
+#include <cerrno>
+#include <functional>
+
 #include "scenarios/scripts.h"
 
 namespace reeltack::test {
@@ -26,6 +29,20 @@
     EXPECT_LT(kilobytes["VmHWM:"], kMemoryMegabytes * 1024);
 #endif
   }
+  // Sends `count` messages as fast as they are read, and drops what is answered.
+  static void flood(const StandIn& from, int count, const std::function<std::string(int)>& message) {
+    std::string rest;
+    char dropped[65536];
+    const Time by = net::now() + 60s;
+    for (int sent = 0; (sent < count || !rest.empty()) && net::now() < by;) {
+      for (; rest.size() < sizeof dropped && sent < count; ++sent) rest += message(sent);
+      const ssize_t n = ::send(from.fd(), rest.data(), rest.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (n > 0) rest.erase(0, static_cast<std::size_t>(n));
+      ASSERT_TRUE(n > 0 || errno == EAGAIN) << "the connection has ended after " << sent;
+      while (::recv(from.fd(), dropped, sizeof dropped, MSG_DONTWAIT) > 0) continue;
+    }
+    ASSERT_TRUE(rest.empty()) << "not read to its end";
+  }
   static std::string large_invite(int number) {
     const std::string body(kLargeBytes, 'x');
     return "INVITE sip:00000000000000aa@net SIP/2.0\r\nCall-ID: " +
@@ -33,8 +50,50 @@
            "\r\nCSeq: 1 INVITE\r\nSubject: patient\r\nX-Patience: 9000\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
+  static std::string large_set_up(int number) {
+    return StandIn::masked(1, R"({"type":"set-up","call":")" +
+                                  net::hex16(0x10000U + static_cast<unsigned>(number)) +
+                                  R"(","class":"patient","number":"00000000000000aa","patience_ms":9000,)" +
+                                  R"("description":")" + std::string(kLargeBytes, 'x') + "\"}");
+  }
 };
 
+// Guards against memory without end: one caller's set-ups wait by the thousand for offices that do not
+// answer.
+TEST_F(Memory, OneCallerWhoseLargeSetUpsWaitFitsTheLimit) {
+  play(kBothUp);
+  StandIn& caller = open("flood", "sip");
+  flood(caller, 8000, large_invite);
+  expect_within_limit();
+  play("c open sip\nc send OPTIONS #1\nc expect 200\n");  // it serves on
+}
+
+// Guards against the same on the WebSocket front.
+TEST_F(Memory, OneClientWhoseLargeSetUpsWaitFitsTheLimit) {
+  play(kBothUp);
+  StandIn& client = open("flood", "calls");
+  flood(client, 8000, large_set_up);
+  expect_within_limit();
+  play("c open sip\nc send OPTIONS #1\nc expect 200\n");
+}
+
+// Guards against the lasting share of one that floods: another caller's set-up still finds room.
+TEST_F(Memory, SetUpOfAnotherCallerIsTakenBesideOneThatFloods) {
+  play(kBothUp);
+  StandIn& caller = open("flood", "sip");
+  flood(caller, 500, large_invite);
+  play(R"(
+    w open calls
+    w send {"type":"set-up","call":"#1","class":"urgent","number":"00000000000000aa","patience_ms":300,"description":"d"}
+    w expect taken #1
+  )");
+  // Tried, or refused by the module, which gives advice; not refused for want of memory.
+  const std::string answer = peers_.at("w").next();
+  EXPECT_TRUE(answer.find("failed") != std::string::npos || answer.find("later_ms") != std::string::npos)
+      << answer;
+  expect_within_limit();
+}
+
 // Guards against memory that a call keeps after its answer: descriptions are needed no longer.
 TEST_F(Memory, StandingCallsWithLargeDescriptionsFitTheLimit) {
   play(R"(
