Bound header fields, and count a connection's whole memory

Hundreds of clients with heads of very many short fields took the process past its limit: 37 MB, and 43 MB with half-written WebSocket messages beside, where 32 MB and 1,024 descriptors were set; 20 MB where 16 were. Other callers waited over a second (250 clients, one loop busy with fields).

Cause: a head of 16 KB could hold 4,000 fields, and the answer repeats its Via fields; the connections that the memory allows were counted at 64 KB each, where a message and its answers take up to 80, and the WebSocket front's were not counted.

Change: 100 fields at the most (400, 431); 5 SIP and 4 WebSocket connections a megabyte. With 192 MB and 1,024 descriptors 614 callers are let in as before; with 32 MB and 256, 153 as before; with 32 MB and 1,024 now 160 in place of 512.

Result: Memory.HeadOfVeryManyFieldsIsRefused failed before and passes; Memory.HundredsOfHalfWrittenMessagesFitTheLimit held before too.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,6 +35,9 @@
 
 // Usual callers hold a third of the descriptors at the most; after SIGTERM a successor shares the limit.
 constexpr std::size_t kYieldedShare = 3;
+// A connection takes up to 80 KB for a message and its answers; all of them together not half of the memory.
+constexpr std::size_t kCallersPerMegabyte = 5;
+constexpr std::size_t kWebSocketPerMegabyte = 4;
 constexpr std::size_t kMegabyte = std::size_t{1024} * 1024;
 // Requests that are not answered yet hold an eighth of the memory at the most.
 constexpr std::size_t kRequestMemoryShare = 8;
@@ -102,13 +105,15 @@
 
   // Usual callers hold a third of the descriptors at the most. What others hold beside them must leave the
   // offices theirs.
-  const std::size_t callers = std::min(node.limits.sockets * 60 / 100, node.limits.memory_mb * 16);
+  const std::size_t callers =
+      std::min(node.limits.sockets * 60 / 100, node.limits.memory_mb * kCallersPerMegabyte);
   core::Core core(node.settings, node.seed);
   core.limit_request_memory(node.limits.memory_mb * kMegabyte / kRequestMemoryShare);
   core::OfficeList list(core);
   platform::Offices offices(core, node.class_names, node.dial_limit);
-  ws::Frontend websocket(core, list,
-                         {node.class_names, fronts.websocket_origins, fronts.websocket_connections});
+  const std::size_t websocket_connections =
+      std::min(fronts.websocket_connections, node.limits.memory_mb * kWebSocketPerMegabyte);
+  ws::Frontend websocket(core, list, {node.class_names, fronts.websocket_origins, websocket_connections});
   core::OfficeRouter sides(offices);
   sides.add(websocket, [&websocket](ServerId id) { return websocket.owns(id); });
   trunk::Trunks trunks;
@@ -173,7 +178,7 @@
   });
   net::log_line("asked to end: answering what was taken");
   sip.yield(node.limits.sockets / kYieldedShare);
-  websocket.yield(fronts.websocket_connections);
+  websocket.yield(websocket_connections);
   if (zone) zone->yield();
   shut_down(core, offices, sip, &websocket, shutdown_times(node.settings));
   management.close();
--- a/src/platform/sip_message.cpp
+++ b/src/platform/sip_message.cpp
@@ -10,6 +10,9 @@
 namespace reeltack::platform {
 namespace {
 
+// More than any caller sends; each costs time to read, and the echoed ones to answer.
+constexpr std::size_t kMaxHeaderFields = 100;
+
 bool same_name(std::string_view a, std::string_view b) {
   return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
@@ -96,6 +99,7 @@
       length = static_cast<std::size_t>(*n);
       has_length = true;
     }
+    if (out.headers.size() == kMaxHeaderFields) return ParseResult::malformed;
     out.headers.emplace_back(name, value);
   }
   // Over a stream, only Content-Length shows where the message ends.
--- a/src/ws/frames.cpp
+++ b/src/ws/frames.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kMaxHeadBytes = 8192;
 constexpr std::size_t kMaxControlPayload = 125;
+constexpr std::size_t kMaxHeaderFields = 100;
 
 bool equal_ignoring_case(std::string_view a, std::string_view b) {
   return a.size() == b.size() && ::strncasecmp(a.data(), b.data(), a.size()) == 0;
@@ -103,7 +104,8 @@
   bool version = false;
   std::string key;
   std::string origin;
-  while (!head.empty()) {
+  for (std::size_t fields = 0; !head.empty(); ++fields) {
+    if (fields == kMaxHeaderFields) return rejected("431 Request Header Fields Too Large");
     const std::string_view line = head.substr(0, head.find("\r\n"));
     head.remove_prefix(std::min(line.size() + 2, head.size()));
     const std::size_t colon = line.find(':');
--- a/tests/scenarios/memory_test.cpp
+++ b/tests/scenarios/memory_test.cpp
@@ -117,5 +117,34 @@
   expect_within_limit();
 }
 
+// Guards against memory by connections: hundreds that stop half way through a large message, and heads of
+// very many short fields.
+TEST_F(Memory, HundredsOfHalfWrittenMessagesFitTheLimit) {
+  const std::string half = large_invite(1).substr(0, kLargeBytes);
+  std::string fields = "OPTIONS sip:x@net SIP/2.0\r\n";
+  for (int i = 0; i < 2400; ++i) fields += "Via:\r\n";
+  fields += "Content-Length: 0\r\n\r\n";
+  std::vector<StandIn> clients;
+  for (int i = 0; i < 180; ++i) {
+    clients.emplace_back(StandIn::Kind::sip, std::move(net::dial({host(0), 5000}, soon()).fd));
+    clients.back().raw(i % 2 == 0 ? half : fields + fields);
+  }
+  for (StandIn& client : clients) EXPECT_NE(client.next(), "late");
+  expect_within_limit();
+}
+
+// Guards against time spent on fields: a head with more than any caller sends is answered at once.
+TEST_F(Memory, HeadOfVeryManyFieldsIsRefused) {
+  std::string fields;
+  for (int i = 0; i < 101; ++i) fields += "a:\r\n";
+  StandIn& caller = open("c", "sip");
+  caller.raw("OPTIONS sip:x@net SIP/2.0\r\n" + fields + "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ(caller.next().rfind("SIP/2.0 400", 0), 0U);
+  EXPECT_EQ(caller.next(), "end");
+  StandIn client(StandIn::Kind::raw, std::move(net::dial({host(0), 6000}, soon()).fd));
+  client.raw("GET /calls HTTP/1.1\r\n" + fields + "\r\n");
+  EXPECT_EQ(client.next().rfind("HTTP/1.1 431", 0), 0U);
+}
+
 }  // namespace
 }  // namespace reeltack::test
