Guard the id of an attempted call for its whole time

An id ran twice when it came again after its client had left: 5,000 other requests in between were enough, on both fronts.

Cause: the record of an ended call guards its id for 30 s, but 4,096 are kept, and the oldest went first, though it had been attempted and the later ones had not.

Change: the ids of attempted calls outlive their records (core::RecentCalls).

--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -9,7 +9,7 @@
 
 void Core::admit(Request request) {
   const CallId call = request.arrival.call;
-  if (calls_.contains(call)) {  // the earlier call with this id is not affected
+  if (calls_.contains(call) || recent_.contains(call, now_)) {  // the earlier call is not affected
     --open_calls_;
     request_memory_.give_back(request);
     request.frontend->rejected(call, FailureReason::duplicate, {});
--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -69,10 +69,20 @@
   retained_.emplace_back(now_ + kRetention, record.request.arrival.call);
   while (!retained_.empty() && (retained_.size() > kMaxRetained || retained_.front().first <= now_)) {
     if (retained_.front().second == record.request.arrival.call) break;  // still in use here
-    calls_.erase(retained_.front().second);
-    retained_.pop_front();
+    erase_first_retained();
   }
 }
+
+// A call without an attempt had no effect: its id can be used again.
+void Core::erase_first_retained() {
+  const auto [until, call] = retained_.front();
+  retained_.pop_front();
+  const auto record = calls_.find(call);
+  if (record == calls_.end()) return;
+  if (until > now_ && record->second.attempts > 0) recent_.add(call, until);
+  calls_.erase(record);
+}
+
 void Core::cancel_expiry_timer(Record& record) {
   if (record.expiry_timer) timers_.erase(*record.expiry_timer);
   record.expiry_timer.reset();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -22,6 +22,7 @@
 
 #include "base/base.h"
 #include "core/interfaces.h"
+#include "core/recent_calls.h"
 #include "core/request_memory.h"
 #include "figures/figures.h"
 #include "membership/roster.h"
@@ -139,6 +140,7 @@
   void finish(Record& record, Phase phase, FailureReason reason, Duration retry_after);
   void end_established(Record& record);
   void retain_ended(Record& record);
+  void erase_first_retained();
   void cancel_expiry_timer(Record& record);
   void drop_calls_at(ServerId office);
   void drop_calls_on(ServerId office, ConnectionNumber last);
@@ -175,6 +177,7 @@
   std::unordered_map<CallId, Record> calls_;
   std::multimap<Time, Timer> timers_;
   std::deque<std::pair<Time, CallId>> retained_;  // ended calls and when to erase their records
+  RecentCalls recent_;                            // attempted, and erased before that time
   membership::Roster roster_;
   // The number of established calls by office, and by the connection on which it answered.
   std::map<ServerId, std::map<ConnectionNumber, int>> established_at_office_;
--- a/tests/crossings/core_crossings_test.cpp
+++ b/tests/crossings/core_crossings_test.cpp
@@ -184,5 +184,26 @@
   EXPECT_EQ(core_->in_flight(), 0U);
 }
 
+// Guards against an id that runs twice: its caller left and comes again, after more calls have ended than
+// whose records are kept.
+TEST_F(CoreCrossings, IdOfAnAttemptedCallIsNotRunAgainBehindManyEndedCalls) {
+  run(usual_settings());
+  request(kCall, 8s);
+  ASSERT_TRUE(endpoints_.await_starts(1));
+  core_->office_answered(kFirst, kCall, "d");
+  ASSERT_TRUE(callers_.await_answer(kCall).stands);
+  core_->release(kCall, callers_);
+  constexpr std::uint64_t kOthers = 5000;
+  for (std::uint64_t other = 1000; other < 1000 + kOthers; ++other) request(CallId{other}, 0s);
+  settle(*core_);
+  request(kCall, 8s);
+  settle(*core_);
+  EXPECT_EQ(endpoints_.starts_of(kCall), 1U);
+  ASSERT_EQ(callers_.answers_to(kCall).size(), 2U);
+  EXPECT_EQ(callers_.answers_to(kCall).back().why, FailureReason::duplicate);
+  request(CallId{1000}, 8s);  // never attempted: its id can be used again
+  EXPECT_TRUE(endpoints_.await_starts(2));
+}
+
 }  // namespace
 }  // namespace reeltack::test
