List an office of the zone that gets another address as another office

A call stood at an office; a dynamic update gave its name another address; the call ended, and its caller was never released (12 s watched, both fronts).

Cause: the id comes from the name, and the id alone said who an office was: the link closed its connection to the old process and took the new one for it.

Change: an endpoint with another address is listed under an id of its own, and the one at the old address drains, so that its link stays while calls stand there.

--- a/src/dns/endpoints.cpp
+++ b/src/dns/endpoints.cpp
@@ -11,14 +11,14 @@
 
 constexpr std::string_view kPlaceKey = "place=";
 
-std::uint32_t fnv1a(std::string_view text) {  // FNV-1a: an endpoint has the same id after a restart
+}  // namespace
+
+ServerId derived_id(std::string_view text) {  // FNV-1a
   std::uint32_t h = 2166136261U;
   for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 16777619U;
-  return h;
+  return ServerId{h};
 }
 
-}  // namespace
-
 std::vector<core::OfficeEntry> Zone::offices(const std::string& service,
                                              std::vector<std::string>* missing) const {
   std::vector<core::OfficeEntry> out;
@@ -37,7 +37,7 @@
     const std::uint32_t port = read_number(data, 4, 2);
     endpoint.address = data_to_text(kA, *addresses->data.begin()) + ":" + std::to_string(port);
     const auto named = base::parse_office_name(target.substr(0, target.find('.')));
-    endpoint.entry.server = named ? *named : ServerId{fnv1a(target + std::to_string(port))};
+    endpoint.entry.server = named ? *named : derived_id(target + std::to_string(port));
     endpoint.entry.capacity = std::max<double>(read_number(data, 2, 2), 1.0);
     if (const RecordSet* notes = find(target, kTxt)) {
       for (const std::string& note : notes->data) {
--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -128,12 +128,22 @@
   return change != ZoneFile::Change::unreadable;
 }
 
+// Requires the lock. A name that gets another address names another process, which is listed under an id of
+// its own: the one at the old address drains, and keeps its calls.
+ServerId UpdateServer::id_at_address(const core::OfficeEntry& endpoint) const {
+  const ServerId id = endpoint.entry.server;
+  const auto known = published_.find(id);
+  if (known == published_.end() || known->second.address == endpoint.address) return id;
+  return derived_id(base::office_name(id) + "@" + endpoint.address);
+}
+
 // Requires the lock. An endpoint that left the zone is listed as draining, never just omitted.
 void UpdateServer::publish() {
   std::vector<std::string> missing;
   std::vector<core::OfficeEntry> current = zone_.offices(service_, &missing);
   for (const std::string& target : missing)
     net::log_line("zone: " + target + " has no address and is left out");
+  for (core::OfficeEntry& endpoint : current) endpoint.entry.server = id_at_address(endpoint);
   std::vector<core::OfficeEntry> changes = current;
   for (auto& [id, entry] : published_) {
     const bool found = std::any_of(current.begin(), current.end(),
--- a/src/dns/updates.h
+++ b/src/dns/updates.h
@@ -34,6 +34,7 @@
   int update(std::string_view message);
   bool take_over();
   void publish();
+  [[nodiscard]] ServerId id_at_address(const core::OfficeEntry& endpoint) const;
   core::OfficeList& list_;
   const std::string service_;
   std::mutex lock_;
--- a/src/dns/zone.h
+++ b/src/dns/zone.h
@@ -15,6 +15,9 @@
 
 namespace reeltack::dns {
 
+// An endpoint's id, the same after each restart.
+ServerId derived_id(std::string_view text);
+
 // Names and their records.
 class Zone {
  public:
--- a/tests/dns/shared_zone_test.cpp
+++ b/tests/dns/shared_zone_test.cpp
@@ -5,6 +5,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -28,22 +30,31 @@
   return out + dns::name_to_wire("c" + std::to_string(office) + ".t.example.");
 }
 
-// One SRV record of an office, added or removed.
-std::string update(std::uint16_t rr_class, int office) {
+std::string record(const std::string& name, dns::Type type, std::uint16_t rr_class, const std::string& data) {
+  std::string out = dns::name_to_wire(name);
+  dns::append16(out, type);
+  dns::append16(out, rr_class);
+  dns::append32(out, rr_class == kClassIn ? 60 : 0);  // TTL
+  dns::append16(out, data.size());
+  return out + data;
+}
+
+std::string update_with(const std::vector<std::string>& records) {
   std::string out;
   dns::append16(out, 1);
   dns::append16(out, 5U << 11U);  // UPDATE
-  for (const std::size_t count : {1, 0, 1, 0}) dns::append16(out, count);
+  for (const std::size_t count : {std::size_t{1}, std::size_t{0}, records.size(), std::size_t{0}})
+    dns::append16(out, count);
   out += dns::name_to_wire("t.example.");
   dns::append16(out, dns::kSoa);
   dns::append16(out, kClassIn);
-  out += dns::name_to_wire(kService);
-  dns::append16(out, dns::kSrv);
-  dns::append16(out, rr_class);
-  dns::append32(out, rr_class == kClassIn ? 60 : 0);
-  const std::string data = srv(office);
-  dns::append16(out, data.size());
-  return out + data;
+  for (const std::string& one : records) out += one;
+  return out;
+}
+
+// One SRV record of an office, added or removed.
+std::string update(std::uint16_t rr_class, int office) {
+  return update_with({record(kService, dns::kSrv, rr_class, srv(office))});
 }
 
 std::string zone_text() {
@@ -60,12 +71,26 @@
  public:
   void listed(bool /*complete*/, const std::vector<core::OfficeEntry>& offices) override {
     const std::lock_guard hold(lock_);
-    for (const core::OfficeEntry& o : offices) ready_[o.address] = o.entry.state == ServerState::ready;
+    for (const core::OfficeEntry& o : offices) {
+      ready_[o.address] = o.entry.state == ServerState::ready;
+      addresses_[o.entry.server].insert(o.address);
+    }
   }
   void start(const core::SetUp& /*set_up*/) override {}
   void cancel(ServerId /*office*/, CallId /*call*/, std::uint32_t /*attempt*/) override {}
   void release(ServerId /*office*/, CallId /*call*/) override {}
   void keep_connection(ServerId /*office*/, bool /*calls_established*/) override {}
+  bool ready(const std::string& address) {
+    const std::lock_guard hold(lock_);
+    return ready_[address];
+  }
+  // The most addresses that one id has had.
+  std::size_t most_addresses() {
+    const std::lock_guard hold(lock_);
+    std::size_t out = 0;
+    for (const auto& [id, addresses] : addresses_) out = std::max(out, addresses.size());
+    return out;
+  }
   int count() {
     const std::lock_guard hold(lock_);
     int out = 0;
@@ -76,6 +101,7 @@
  private:
   std::mutex lock_;
   std::map<std::string, bool> ready_;
+  std::map<ServerId, std::set<std::string>> addresses_;
 };
 
 Settings one_class() {
@@ -190,5 +216,26 @@
   EXPECT_EQ(process.send(update(kClassNone, 1)), dns::kNoError);
 }
 
+// Guards against a new process that is taken for the old one: the calls at the old address would lose their
+// ends.
+TEST_F(SharedZone, OfficeAtAnotherAddressIsAnotherOfficeAndTheOldOneDrains) {
+  constexpr std::uint16_t kClassAny = 255;
+  const std::string name = "c3.t.example.";
+  const auto moved_to = [&name](char last) {
+    return update_with({record(name, dns::kA, kClassAny, ""),
+                        record(name, dns::kA, kClassIn, std::string("\x7f\0\0", 3) + last)});
+  };
+  Process process(file_);
+  ASSERT_TRUE(process.await(kOffices));
+  ASSERT_EQ(process.send(moved_to(2)), dns::kNoError);
+  EXPECT_TRUE(process.offices.ready("127.0.0.2:4003"));
+  EXPECT_FALSE(process.offices.ready("127.0.0.1:4003"));
+  ASSERT_EQ(process.send(moved_to(1)), dns::kNoError);  // and back
+  EXPECT_TRUE(process.offices.ready("127.0.0.1:4003"));
+  EXPECT_FALSE(process.offices.ready("127.0.0.2:4003"));
+  EXPECT_EQ(process.offices.count(), kOffices);
+  EXPECT_EQ(process.offices.most_addresses(), 1U);
+}
+
 }  // namespace
 }  // namespace reeltack::test
