Spare centrales and standing calls where silent clients need room

One burst of 170 silent connections ended the connection of a registered centrale, and 80 on the SIP port (57 allowed) that of a caller whose call stood.

Cause: connections that have just come are spared for 250 ms, and room was made by whoever could be spared at that moment: a quiet centrale counted as idle.

Change: a registered centrale never makes room; a connection with standing calls makes none while fresh ones are there, which speak or make room within 250 ms.

--- a/src/net/connection_listener.cpp
+++ b/src/net/connection_listener.cpp
@@ -176,9 +176,11 @@
 }
 
 // Evicts connections that never sent anything first, then those without a call, then those whose calls are
-// established (their releases can use another connection); within each group the longest idle first.
+// established (their releases can use another connection), unless fresh ones may soon be evicted in their
+// place; within each group the longest idle first.
 void ConnectionListener::evict_excess() {
   std::size_t excess = peers_.size() - max_connections_;
+  bool any_fresh = false;
   std::vector<std::tuple<Peer::EvictionRank, Time, Peer*>> candidates;
   for (const auto& [p, held] : peers_) {
     if (p->evicting()) {
@@ -186,11 +188,13 @@
       continue;
     }
     const Peer::EvictionRank rank = p->eviction_rank();
-    if (rank != Peer::EvictionRank::in_use) candidates.emplace_back(rank, p->last_received(), p);
+    if (rank == Peer::EvictionRank::fresh) any_fresh = true;
+    if (rank < Peer::EvictionRank::fresh) candidates.emplace_back(rank, p->last_received(), p);
   }
   std::sort(candidates.begin(), candidates.end());
   for (const auto& [rank, last_received, p] : candidates) {
     if (excess-- == 0) return;
+    if (any_fresh && rank == Peer::EvictionRank::established) return;
     p->evict();
   }
 }
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -173,15 +173,15 @@
 // answer that is not yet written: with the processor overloaded, the loop may handle these late.
 Peer::EvictionRank Peer::eviction_rank_locked() const {
   if (over_ || evicting_ || answering_ || closing_ != Closing::no || patience_.has_partial_message() ||
-      !open_.empty() || outbox_.behind() || fd_.unread())
+      !open_.empty() || is_essential() || outbox_.behind() || fd_.unread())
     return EvictionRank::in_use;
   if (!patience_.served())
-    return last_received() + kFirstMessageGrace < now() ? EvictionRank::silent : EvictionRank::in_use;
+    return last_received() + kFirstMessageGrace < now() ? EvictionRank::silent : EvictionRank::fresh;
   return established_.empty() ? EvictionRank::idle : EvictionRank::established;
 }
 void Peer::evict() {
   const std::lock_guard hold(lock_);
-  if (eviction_rank_locked() == EvictionRank::in_use) return;
+  if (eviction_rank_locked() >= EvictionRank::fresh) return;
   evicting_ = true;
   fd_.shut();
 }
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -50,8 +50,9 @@
   [[nodiscard]] limits::MemoryShares::Owner owner() const { return owner_; }
   [[nodiscard]] EndReason end_reason() const { return end_reason_; }  // valid once over()
 
-  // Order of eviction: the first are evicted first; in_use: not at present.
-  enum class EvictionRank { silent, idle, established, in_use };
+  // Order of eviction: the first are evicted first; fresh (nothing sent, within its grace) and in_use: not at
+  // present.
+  enum class EvictionRank { silent, idle, established, fresh, in_use };
   [[nodiscard]] EvictionRank eviction_rank() const;
   [[nodiscard]] Time last_received() const { return Time{Duration{last_received_.load()}}; }
   // Ends the connection at once in favour of others, if it may still be evicted. The caller sends again what
@@ -90,6 +91,8 @@
   // Called once as the connection ends, if there are any: established calls whose answers were not completely
   // written, so that the far end does not know of them.
   virtual void on_unanswered(const std::set<CallId>& /*established*/) {}
+  // Whether others depend on the connection, so that it is never evicted.
+  [[nodiscard]] virtual bool is_essential() const { return false; }
   // Whether open set-ups are answered before the connection ends when its far end has closed only its own
   // direction or sent a malformed message. Otherwise they are abandoned with the last read.
   [[nodiscard]] virtual bool answers_open() const { return false; }
--- a/src/ws/connection.h
+++ b/src/ws/connection.h
@@ -20,12 +20,15 @@
   // The far end requested the endpoints' path.
   [[nodiscard]] bool serves_endpoint() const { return serves_endpoint_; }
   std::optional<ServerId> endpoint;  // the endpoint registered on this connection
+  void mark_registered() { registered_ = true; }
 
  protected:
   Next received() override;
   void on_timeout() override;
   Next on_quiet() override;
   void on_left(const std::set<CallId>& open) override;
+  // A registered endpoint: its calls, and the clients', depend on it.
+  [[nodiscard]] bool is_essential() const override { return registered_; }
 
  private:
   bool handle_message(const std::shared_ptr<Connection>& self, const Message& message);
@@ -36,6 +39,7 @@
   Assembler assembler_;
   bool pinged_ = false;  // a ping was sent and nothing received since
   std::atomic<bool> serves_endpoint_{false};
+  std::atomic<bool> registered_{false};
   std::mutex sending_;  // guards close_sent_, and that nothing is sent after a close frame
   bool close_sent_ = false;
 };
--- a/src/ws/registrations.cpp
+++ b/src/ws/registrations.cpp
@@ -59,6 +59,7 @@
   endpoint.entry = entry;
   endpoint.connection = from;
   from->endpoint = id;
+  from->mark_registered();
   from->send(R"({"type":"registered","centrale":)" + quoted(name) + "}");
   for (auto& [call, release] : std::exchange(endpoint.pending_releases, {}))
     send_release(endpoint, call, release);
