Look at the first byte where the kernel does not tell how much is unread

Once the program is asked to end, a connection that had just been accepted was closed without its INVITE having been read where FIONREAD failed: the request was lost.

Change: a failed FIONREAD is followed by a look at the first byte.

--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -84,8 +84,11 @@
   if (fd_ >= 0) sys::shutdown(fd_, SHUT_WR);
 }
 bool Fd::unread() const {
+  if (fd_ < 0) return false;
   int waiting = 0;
-  return fd_ >= 0 && sys::ioctl(fd_, FIONREAD, &waiting) == 0 && waiting > 0;
+  if (sys::ioctl(fd_, FIONREAD, &waiting) == 0) return waiting > 0;
+  char first = 0;
+  return sys::recv(fd_, &first, 1, MSG_PEEK) > 0;  // a failure to tell is no sign that nothing waits
 }
 
 bool Fd::far_end_closed() const {
