Notify offices' links of the earliest connection only where it changes

Cause, in part: each first call at an office took its link's lock a second time to tell the earliest connection, which had seldom changed; and the account of a connection's requests was made anew with each first one.

Change: the core remembers what it has told; accounts of connections that hold nothing are kept up to 256.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -2,6 +2,7 @@
 // of each office, and bounds how long records of ended calls are retained. Established calls are never
 // discarded.
 #include <limits>
+#include <utility>
 
 #include "core/core.h"
 
@@ -100,10 +101,15 @@
 void Core::count_established(const Record& record) {
   auto& by_connection = established_at_office_[record.office];
   const bool first = by_connection.empty();
-  const bool earliest = first || record.connection < by_connection.begin()->first;
   ++by_connection[record.connection];
   if (first) backend_->keep_connection(record.office, true);
-  if (earliest) backend_->earliest_connection_changed(record.office, record.connection);
+  report_earliest(record.office, by_connection.begin()->first);
+}
+
+// A connection carries many calls, so that the backend is seldom notified.
+void Core::report_earliest(ServerId office, ConnectionNumber earliest) {
+  ConnectionNumber& reported = earliest_reported_[office];
+  if (std::exchange(reported, earliest) != earliest) backend_->earliest_connection_changed(office, earliest);
 }
 
 // Notifies the backend of the end of an office's last established call, or of the last one on its earliest
@@ -113,13 +119,12 @@
   auto& by_connection = office->second;
   const auto connection = by_connection.find(record.connection);
   if (--connection->second > 0) return;
-  const bool was_earliest = connection == by_connection.begin();
   by_connection.erase(connection);
   if (by_connection.empty()) {
     established_at_office_.erase(office);
     backend_->keep_connection(record.office, false);
-  } else if (was_earliest) {
-    backend_->earliest_connection_changed(record.office, by_connection.begin()->first);
+  } else {
+    report_earliest(record.office, by_connection.begin()->first);
   }
 }
 
@@ -156,7 +161,10 @@
   ServerListReceived event;
   event.complete = complete;
   for (const OfficeEntry& o : offices) event.entries.push_back(o.entry);
-  for (const ServerId id : roster_.update(complete, event.entries)) drop_calls_at(id);
+  for (const ServerId id : roster_.update(complete, event.entries)) {
+    drop_calls_at(id);
+    earliest_reported_.erase(id);
+  }
   update_office_metrics();
   events_.emplace_back(std::move(event));
 }
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -149,6 +149,7 @@
   void apply_list(bool complete, const std::vector<OfficeEntry>& offices);
   void count_established(const Record& record);
   void uncount_established(const Record& record);
+  void report_earliest(ServerId office, ConnectionNumber earliest);
   void update_office_metrics();
   void notify_observer(ServerId office, OfficeObserver::OfficeObservation what) const;
 
@@ -181,6 +182,7 @@
   membership::Roster roster_;
   // The number of established calls by office, and by the connection on which it answered.
   std::map<ServerId, std::map<ConnectionNumber, int>> established_at_office_;
+  std::map<ServerId, ConnectionNumber> earliest_reported_;  // to the backend
   base::Thread thread_;
 };
 
--- a/src/limits/memory_shares.cpp
+++ b/src/limits/memory_shares.cpp
@@ -19,7 +19,7 @@
   const std::size_t returned = std::min(bytes, found->second);
   held_ -= returned;
   found->second -= returned;
-  if (found->second == 0) by_owner_.erase(found);
+  if (found->second == 0 && by_owner_.size() > kMaxIdleOwners) by_owner_.erase(found);
 }
 
 std::size_t MemoryShares::held_by(Owner owner) const {
--- a/src/limits/memory_shares.h
+++ b/src/limits/memory_shares.h
@@ -24,9 +24,11 @@
   [[nodiscard]] std::size_t held_by(Owner owner) const;
 
  private:
+  // Owners that hold nothing keep their entries up to this size of the table, since most take again soon.
+  static constexpr std::size_t kMaxIdleOwners = 256;
   const std::size_t capacity_;
   std::size_t held_ = 0;
-  std::unordered_map<Owner, std::size_t> by_owner_;  // those that hold some
+  std::unordered_map<Owner, std::size_t> by_owner_;
 };
 
 }  // namespace reeltack::limits
