Take requests of trunk groups whatever memory others hold

Cause: Core::request says that there is no room, and the trunk's front does not ask.

Change: requests of no connection of their own are always taken; the circuits of a group bound them.

--- a/src/core/request_memory.h
+++ b/src/core/request_memory.h
@@ -17,9 +17,10 @@
  public:
   // Unlimited until then. Must be called before the first request.
   void limit(std::size_t bytes) { shares_.emplace(bytes); }
-  // Marks the request as holding its memory. False: there is no room for it.
+  // Marks the request as holding its memory. False: there is no room for it. Requests of no connection of
+  // their own are always taken: the circuits of a trunk group bound them.
   bool take(Request& request) {
-    if (!shares_) return true;
+    if (!shares_ || request.source == limits::MemoryShares::Owner{}) return true;
     const std::size_t bytes = kOverheadBytes + kCopies * request.description.size();
     const std::lock_guard hold(lock_);
     if (!shares_->take(request.source, bytes)) return false;
--- a/tests/crossings/core_crossings_test.cpp
+++ b/tests/crossings/core_crossings_test.cpp
@@ -205,5 +205,15 @@
   EXPECT_TRUE(endpoints_.await_starts(2));
 }
 
+// Guards against a call of a trunk group that gets no answer: its front takes no refusal for want of memory.
+TEST(RequestMemory, RequestOfNoConnectionIsAlwaysTaken) {
+  core::RequestMemory memory;
+  memory.limit(1);
+  core::Request request;
+  EXPECT_TRUE(memory.take(request));
+  request.source = limits::MemoryShares::Owner{1};
+  EXPECT_FALSE(memory.take(request));
+}
+
 }  // namespace
 }  // namespace reeltack::test
