Hold the program at its start in the test of signals before it is up

Cause: the test waits until /proc/PID/status shows SIGTERM, SIGINT and SIGHUP as blocked. A program that is up waits for them in sigwait, and the kernel takes the signals waited for out of the shown set meanwhile. So the test could only see them during the few milliseconds of the start; where its first look came later, it never did.

Change: the fronts file is a FIFO, which the program waits for until the test has sent its signals. The signals are now there before the program is up in every run, which the old form did not make sure of. What is checked is as before: just these three signals are blocked, and the program ends well with no request taken.

--- a/tests/crossings/shutdown_process_test.cpp
+++ b/tests/crossings/shutdown_process_test.cpp
@@ -15,9 +15,27 @@
 // As /proc/PID/status writes a set of signals.
 constexpr std::uint64_t signal_bit(int which) { return std::uint64_t{1} << (which - 1); }
 
+// The write end of the FIFO at `path`, once a reader has opened it.
+net::Fd open_for_reader(const std::string& path) {
+  const Time by = soon();
+  net::Fd out(::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC));
+  while (!out && net::now() < by) {
+    net::pause_until(net::now() + 1ms);
+    out = net::Fd(::open(path.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC));
+  }
+  return out;
+}
+
 // The signal is there before the program can take it.
 TEST_F(ShutdownCrossings, TermBeforeTheProgramIsUpEndsItWell) {
-  launch_with(kVoice);
+  // The program waits for its fronts file until the test writes it: a program that is up waits in sigwait,
+  // and the kernel shows the signals waited for there as not blocked.
+  const std::string fronts = dir() + "/fronts.json";
+  ::mkdir(dir().c_str(), 0700);
+  configure_with(kVoice, kUsualRest);
+  ASSERT_EQ(::mkfifo(fronts.c_str(), 0600), 0);
+  child_ = launch(log_);
+  ASSERT_GT(child_, 0);
   // It blocks these signals first of all; before that the default action would end it. Just these: a
   // sanitizer's runtime blocks every signal for a moment before main begins.
   const std::string status = "/proc/" + std::to_string(child_) + "/status";
@@ -29,14 +47,17 @@
     }
     return false;
   };
-  // One look that finds them blocked is enough: as a thread begins, every signal is blocked for a moment
-  // again.
   const Time by = soon();
   bool blocked = blocks_its_signals();
   for (; !blocked && net::now() < by; blocked = blocks_its_signals()) net::pause_until(net::now() + 1ms);
   ASSERT_TRUE(blocked);
   signal(SIGHUP);
   signal(SIGTERM);
+  net::Fd file = open_for_reader(fronts);
+  ASSERT_TRUE(static_cast<bool>(file));
+  constexpr std::string_view kFronts = R"({"websocket":{"on":false}})";
+  ASSERT_EQ(::write(file.get(), kFronts.data(), kFronts.size()), static_cast<ssize_t>(kFronts.size()));
+  file.reset();
   expect_ends_well();
   EXPECT_TRUE(logged("ended: 0 requests")) << seen_;
 }
