Keep calls at an office's new process when the bulletin tells of its start

Cause: a later start in the list ended whatever stood under the office's id, and its connection, though both could be those of the process it named.

Change: an open connection that was dialled after the listed start leads to the listed process and is kept; the core drops only calls answered on earlier connections. Where the start is unknown, or the connection has ended, all are dropped as before.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -1,7 +1,6 @@
 // The call table and the office list: rejects calls with their one final answer, counts the established calls
 // of each office, and bounds how long records of ended calls are retained. Established calls are never
 // discarded.
-#include <limits>
 #include <utility>
 
 #include "core/core.h"
@@ -13,7 +12,6 @@
 constexpr Duration kRetention = std::chrono::seconds(30);
 // Limits the records of ended calls, so that a client sending at full speed cannot exhaust the memory.
 constexpr std::size_t kMaxRetained = 4096;
-constexpr ConnectionNumber kAnyConnection{std::numeric_limits<std::uint64_t>::max()};
 
 // From the note in an office's release.
 FullReason full_reason(const std::string& note) {
@@ -140,6 +138,12 @@
   }
 }
 
+// The office has restarted: the calls of its earlier process have ended.
+void Core::drop_calls_before_restart(ServerId office) {
+  for (const CallId call : calls_at(office, backend_->last_before_restart(office)))
+    drop_call(calls_.at(call));
+}
+
 // The calls established at the office whose answers came on connections up to `last`.
 std::vector<CallId> Core::calls_at(ServerId office, ConnectionNumber last) const {
   std::vector<CallId> out;
@@ -161,8 +165,8 @@
   ServerListReceived event;
   event.complete = complete;
   for (const OfficeEntry& o : offices) event.entries.push_back(o.entry);
-  for (const ServerId id : roster_.update(complete, event.entries)) {
-    drop_calls_at(id);
+  for (const auto& [id, ended] : roster_.update(complete, event.entries)) {
+    ended == membership::Roster::Ended::all_calls ? drop_calls_at(id) : drop_calls_before_restart(id);
     earliest_reported_.erase(id);
   }
   update_office_metrics();
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -144,6 +144,7 @@
   void cancel_expiry_timer(Record& record);
   void drop_calls_at(ServerId office);
   void drop_calls_on(ServerId office, ConnectionNumber last);
+  void drop_calls_before_restart(ServerId office);
   [[nodiscard]] std::vector<CallId> calls_at(ServerId office, ConnectionNumber last) const;
   void drop_call(Record& record);
   void apply_list(bool complete, const std::vector<OfficeEntry>& offices);
--- a/src/core/interfaces.h
+++ b/src/core/interfaces.h
@@ -4,6 +4,7 @@
 // Plain data and interfaces; holds no state and decides nothing.
 #pragma once
 
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
 
 // The connections to an office, numbered from 1 as they came up; 0: the backend does not tell them apart.
 enum class ConnectionNumber : std::uint64_t {};
+inline constexpr ConnectionNumber kAnyConnection{std::numeric_limits<std::uint64_t>::max()};
 
 struct SetUp {
   CallId call{};
@@ -69,6 +71,9 @@
   // The earliest of the connections on which the office answered calls that are still established. Called
   // when it changes.
   virtual void earliest_connection_changed(ServerId /*office*/, ConnectionNumber /*earliest*/) {}
+  // The latest connection to a process before the one that the list names now: calls answered on later ones
+  // are established at the listed process. Queried after listed() has reported that the office has restarted.
+  [[nodiscard]] virtual ConnectionNumber last_before_restart(ServerId /*office*/) { return kAnyConnection; }
 };
 
 // Receives what attempts and dialling show about offices, on the core's thread; must not block.
--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -102,6 +102,9 @@
   void earliest_connection_changed(ServerId office, ConnectionNumber earliest) override {
     backend_of(office).earliest_connection_changed(office, earliest);
   }
+  ConnectionNumber last_before_restart(ServerId office) override {
+    return backend_of(office).last_before_restart(office);
+  }
 
  private:
   struct Route {
--- a/src/membership/roster.cpp
+++ b/src/membership/roster.cpp
@@ -6,13 +6,13 @@
 
 namespace reeltack::membership {
 
-std::vector<ServerId> Roster::update(bool complete, std::span<const ServerEntry> entries) {
-  std::set<ServerId> ended;
+std::map<ServerId, Roster::Ended> Roster::update(bool complete, std::span<const ServerEntry> entries) {
+  std::map<ServerId, Ended> ended;
   if (complete) {
     std::set<ServerId> listed;
     for (const ServerEntry& e : entries) listed.insert(e.server);
     for (const auto& [id, member] : members_) {
-      if (!listed.contains(id)) ended.insert(id);
+      if (!listed.contains(id)) ended[id] = Ended::all_calls;
     }
     std::erase_if(members_, [&listed](const auto& m) { return !listed.contains(m.first); });
   }
@@ -21,7 +21,7 @@
     const auto known = members_.find(e.server);
     if (e.state == ServerState::gone) {
       if (known != members_.end()) {
-        ended.insert(e.server);
+        ended[e.server] = Ended::all_calls;
         members_.erase(known);
       }
       continue;
@@ -32,12 +32,12 @@
     }
     Member& member = known->second;
     const bool restarted = e.start > member.entry.start;
-    if (restarted) ended.insert(e.server);
+    if (restarted) ended.try_emplace(e.server, Ended::calls_before_restart);
     member.entry = e;
     // It was the previous process that could not be reached.
     if (restarted) member.unreachable = false;
   }
-  return {ended.begin(), ended.end()};
+  return ended;
 }
 
 bool Roster::set_reachable(ServerId office, bool up) {
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -1,6 +1,6 @@
 // The listed offices, their latest entries, and which of them get no new calls.
 //
-// Holds the entries of the list in force and whether each office is reachable, and reports which offices'
+// Holds the entries of the list in force and whether each office is reachable, and reports at which offices
 // established calls have ended because the office has gone, is missing from a complete list or has restarted.
 // An office that has gone is not retained.
 //
@@ -11,7 +11,6 @@
 
 #include <map>
 #include <span>
-#include <vector>
 
 #include "reeltack/controller.h"
 
@@ -19,9 +18,13 @@
 
 class Roster {
  public:
-  // Applies a complete list or changes to it. Returns the offices whose established calls end with it: gone,
-  // missing from a complete list, or restarted (a later start than reported before); each once, by id.
-  std::vector<ServerId> update(bool complete, std::span<const ServerEntry> entries);
+  // Which of an office's established calls have ended.
+  enum class Ended {
+    all_calls,            // the office has gone or is missing from a complete list
+    calls_before_restart  // it has restarted: its start is later than reported before
+  };
+  // Applies a complete list or changes to it. Returns the offices at which established calls end with it.
+  std::map<ServerId, Ended> update(bool complete, std::span<const ServerEntry> entries);
   // Records the result of dialling; ignored for offices that are not listed. A connection that fails without
   // having been up before counts too: calls for the office would come back unsent. True: the office's
   // reachability has changed.
--- a/src/platform/link.cpp
+++ b/src/platform/link.cpp
@@ -18,7 +18,7 @@
   const std::lock_guard hold(lock_);
   const auto address = net::parse_address(office.address);
   // Guards against sending to a dead process, or to another one that has taken over its address.
-  const bool another = reach_.update(office.entry);
+  const bool another = leads_to_another_process(office);
   if (another) pending_releases_.clear();  // the calls ended with the process
   if (another || (address && net::to_text(*address) != net::to_text(address_))) outdated_ = true;
   if (outdated_ && line_) line_->close();
--- a/src/platform/link.h
+++ b/src/platform/link.h
@@ -44,6 +44,7 @@
   void release(CallId call);
   void keep(bool calls_established);
   void earliest_connection_changed(core::ConnectionNumber earliest);  // of the calls established
+  [[nodiscard]] core::ConnectionNumber last_before_restart();
   // Shutdown: no set-up is sent from now on, each connection is closed on our side once possible, and read
   // until the office has closed it too.
   void finish();
@@ -54,7 +55,8 @@
  private:
   // One connection. Writers share ownership, so that the descriptor is not reused while they write.
   struct Line {
-    Line(net::Fd up, core::ConnectionNumber its_number) : fd(std::move(up)), number(its_number) {}
+    Line(net::Fd up, core::ConnectionNumber its_number, Time when_dialled)
+        : fd(std::move(up)), number(its_number), dialled_at(when_dialled) {}
     void close() {
       closed_here = true;
       fd.shut();
@@ -62,6 +64,7 @@
     net::Fd fd;
     net::Outbox outbox;
     const core::ConnectionNumber number;
+    const Time dialled_at;
     std::atomic<bool> closed_here{false};  // by us, so that the office may still consider it open
   };
   // A connection no longer used: our direction is closed, and it is read until the office closes it, or
@@ -100,6 +103,8 @@
   void failed(net::Dial how);
   void host_shortage();
   void up(net::Fd fd);
+  [[nodiscard]] bool leads_to_another_process(const core::OfficeEntry& office);
+  [[nodiscard]] bool dialled_since(Time started_at) const;
   std::shared_ptr<Line> make_line(net::Fd fd);
   enum class Rest { unread, read };  // whether the office may have sent more on it
   void drop(Rest rest);
@@ -141,11 +146,12 @@
   std::mutex lock_;  // guards the members below
   net::Address address_;
   membership::Reachability reach_;
-  bool outdated_ = false;  // the connected process is reported as gone, moved or restarted
+  bool outdated_ = false;  // the connected process is reported as gone, moved or replaced
   bool ended_ = false;
   bool finishing_ = false;  // shutting down
   std::uint64_t tags_ = 0;
   std::uint64_t connections_ = 0;  // that have come up
+  core::ConnectionNumber last_before_restart_ = core::kAnyConnection;
   std::map<CallId, Open> open_;
   std::vector<std::pair<CallId, std::string>> pending_releases_;  // releases for the next connection
   std::shared_ptr<Line> line_;
@@ -159,6 +165,7 @@
   Time collect_again_at_ = net::kNever;   // set when a connection could not be read to its end
   core::ConnectionNumber forgotten_{};    // the latest connection that was not read to its end
   core::ConnectionNumber earliest_{};     // on which a call was answered that is still established
+  Time dial_began_{};                     // of either dial
   Time dial_by_{};                        // deadline of either dial
   Time shortage_until_{};                 // no dial before, after a shortage on this host
   Time shortage_deadline_ = net::kNever;  // when waiting set-ups are returned unsent
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -18,10 +18,34 @@
 
 }  // namespace
 
+// Applies the list entry. True: the process to which this link was connected has gone or has restarted.
+// Discovery may tell of a restart when the new process is in use already.
+bool OfficeLink::leads_to_another_process(const core::OfficeEntry& office) {
+  if (!reach_.update(office.entry)) return false;
+  if (reach_.gone()) return true;
+  const bool in_use = dialled_since(office.entry.started_at);
+  last_before_restart_ =
+      in_use ? core::ConnectionNumber{static_cast<std::uint64_t>(line_->number) - 1} : core::kAnyConnection;
+  return !in_use;
+}
+
+// Whether the connection in use leads to the process that started at that time (Time{}: unknown). One that
+// has ended may have ended with the process before.
+bool OfficeLink::dialled_since(Time started_at) const {
+  const bool open = line_ && !line_->closed_here && !line_->fd.far_end_closed();
+  return open && started_at != Time{} && line_->dialled_at >= started_at;
+}
+
+core::ConnectionNumber OfficeLink::last_before_restart() {
+  const std::lock_guard hold(lock_);
+  return last_before_restart_;
+}
+
 void OfficeLink::dial() {
   if (reach_.gone()) return failed(net::Dial::failed);  // another process may use the address now
   net::Dial how = net::Dial::failed;
   dialled_ = address_;
+  dial_began_ = net::now();
   dialling_ = net::begin_dial(address_, how);
   const Time at = net::now();
   dial_by_ = reach_.dial_deadline(at, dial_limit_);
@@ -77,7 +101,7 @@
 }
 
 std::shared_ptr<OfficeLink::Line> OfficeLink::make_line(net::Fd fd) {
-  return std::make_shared<Line>(std::move(fd), core::ConnectionNumber{++connections_});
+  return std::make_shared<Line>(std::move(fd), core::ConnectionNumber{++connections_}, dial_began_);
 }
 
 void OfficeLink::up(net::Fd fd) {
@@ -155,6 +179,7 @@
     if (how == net::Dial::pending && at >= dial_by_) how = net::Dial::failed;
   } else if (at >= second_dial_at()) {
     collecting_ = at < quiet_check_at();
+    dial_began_ = at;
     second_ = net::begin_dial(address_, how);
     if (how == net::Dial::shortage) {  // no evidence of its silence
       shortage_until_ = at + kShortageRetry;
--- a/src/platform/offices.cpp
+++ b/src/platform/offices.cpp
@@ -60,6 +60,10 @@
 void Offices::earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) {
   if (const auto to = link(office)) to->earliest_connection_changed(earliest);
 }
+core::ConnectionNumber Offices::last_before_restart(ServerId office) {
+  const auto to = link(office);
+  return to ? to->last_before_restart() : core::kAnyConnection;
+}
 
 void Offices::finish() {
   const std::lock_guard hold(lock_);
--- a/src/platform/offices.h
+++ b/src/platform/offices.h
@@ -25,6 +25,7 @@
   void release(ServerId office, CallId call) override;
   void keep_connection(ServerId office, bool calls_established) override;
   void earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) override;
+  core::ConnectionNumber last_before_restart(ServerId office) override;
 
   // Shutdown (OfficeLink::finish): set-ups are returned unsent from now on.
   void finish();
--- a/tests/crossings/endpoint_world.h
+++ b/tests/crossings/endpoint_world.h
@@ -99,6 +99,9 @@
   void earliest_connection_changed(ServerId office, core::ConnectionNumber earliest) override {
     of(office).earliest_connection_changed(earliest);
   }
+  core::ConnectionNumber last_before_restart(ServerId office) override {
+    return of(office).last_before_restart();
+  }
 
   // The core has handed the call to the link there, which has written it if it could.
   bool await_start(ServerId office, CallId call) {
