Keep a quiet connection to an office where a second one is refused

Cause: a sound connection that was quiet for 2.5 s was closed when a second one was refused, and a refusal after that counted as the death of the process. A refusal proves that nothing ran on the refused connection, no more.

Change: the quiet connection is kept, and the kernel checks that its far end still has it (TCP keepalive). A refusal is a death only after a connection that the office ended; after one that this side ended, the rule of silence holds.

--- a/src/membership/reachability.h
+++ b/src/membership/reachability.h
@@ -20,6 +20,8 @@
   Duration answer_timeout = std::chrono::seconds(1);
   // Until the office is probed again, or dialled again after a failure.
   Duration retry_interval = std::chrono::milliseconds(250);
+  // Until the office is probed again after it has refused to be.
+  Duration refused_probe_interval = std::chrono::seconds(1);
   // Until the office is dialled after an established connection has ended.
   Duration reconnect_delay = std::chrono::milliseconds(20);
   // Without a message or a new connection for this long, the office's machine counts as gone.
@@ -37,13 +39,16 @@
   void set_calls_established(bool established) { calls_established_ = established; }
 
   // Dialling has failed. True: the calls established there have ended, since the process has died, or since
-  // no message has arrived and no connection has come up for too long.
+  // no message has arrived and no connection has come up for too long. A refusal shows that the process has
+  // died only if it ended the last connection; one that this side ended may have made room for another
+  // controller, at an office that accepts no more.
   bool dial_failed(DialResult how, Time at);
   // This host lacked the resources to dial (such as descriptors). That tells nothing about the office, and
   // its silence is no evidence either until it could be dialled for as long as usual.
   void dial_impossible(Time at);
   void connected(Time at);
-  void disconnected(Time at);
+  enum class EndedBy { office, this_side };
+  void disconnected(Time at, EndedBy by);
   // No second connection came up since the last message. If the far end then resets the silent connection
   // without another word on it, its machine has restarted: one that is cut off resets nothing, and one whose
   // process lives accepts connections. The calls established on that connection and earlier ones have ended.
@@ -51,7 +56,9 @@
   void received(Time at);     // any message on the connection
   bool set_up_sent(Time at);  // true: from now on an answer is awaited
   // The result of a probe, which dials a second connection beside a quiet one, and what to do then.
-  enum class ProbeResult { wait, replaced, drop, lost };
+  // `refused`: the office accepts no further connection or its process has died; the quiet connection itself
+  // shows which, once the kernel checks that its far end exists.
+  enum class ProbeResult { wait, refused, replaced, lost };
   ProbeResult probed(DialResult how, Time at);
 
   [[nodiscard]] bool ready() const { return ready_; }
@@ -68,7 +75,7 @@
  private:
   // When silence without a new connection begins to count as a loss.
   [[nodiscard]] Time loss_at() const {
-    return std::max(received_at_ + settings_.loss_timeout,
+    return std::max(std::max(received_at_, probe_refused_at_) + settings_.loss_timeout,
                     dial_impossible_at_ + (settings_.loss_timeout - settings_.idle_before_probe));
   }
   ReachabilitySettings settings_;
@@ -81,9 +88,12 @@
   bool ready_ = false;
   bool gone_ = false;  // permanently
   bool calls_established_ = false;
-  bool probe_failed_ = false;  // since the last message
+  bool probe_failed_ = false;   // since the last message
+  bool probe_refused_ = false;  // the latest one
+  Time probe_refused_at_{};     // the latest refusal, by which the machine was there
   bool was_connected_ = false;
-  bool dead_ = false;  // the process has died and no restart has been reported
+  EndedBy ended_by_ = EndedBy::office;  // the last connection
+  bool dead_ = false;                   // the process has died and no restart has been reported
 };
 
 }  // namespace reeltack::membership
--- a/src/platform/link_dial.cpp
+++ b/src/platform/link_dial.cpp
@@ -1,5 +1,6 @@
 // Dialling and loss of a link's connections, and the second connection beside a quiet one.
 #include "base/base.h"
+#include "net/keep_alive.h"
 #include "platform/link.h"
 #include "platform/office_lines.h"
 
@@ -167,7 +168,8 @@
     }
     at = next;
   }
-  reach_.disconnected(net::now());
+  using EndedBy = membership::Reachability::EndedBy;
+  reach_.disconnected(net::now(), line->closed_here ? EndedBy::this_side : EndedBy::office);
 }
 
 // Second connection beside a quiet one: reach_ decides when, and what its outcome means.
@@ -198,13 +200,14 @@
 void OfficeLink::quiet_checked(net::Dial how, Time at) {
   net::Fd fresh = std::move(second_);
   loop_.unwatch(fresh);
-  const auto outcome = reach_.probed(to_dialled(how), at);
-  if (outcome == membership::Reachability::ProbeResult::wait) return;
-  const bool replaced = outcome == membership::Reachability::ProbeResult::replaced;
+  using ProbeResult = membership::Reachability::ProbeResult;
+  const ProbeResult outcome = reach_.probed(to_dialled(how), at);
+  if (outcome == ProbeResult::wait) return;
+  if (outcome == ProbeResult::refused) return net::keep_alive(line_->fd);
+  const bool replaced = outcome == ProbeResult::replaced;
   if (!replaced) line_->close();
   drop(replaced ? Rest::unread : Rest::read);
   if (replaced) return up(std::move(fresh));
-  if (outcome == membership::Reachability::ProbeResult::drop) return;
   net::log_line("office " + net::office_name(id_) + " is silent and out of reach: its calls are cut");
   core_.reachability_changed(id_, false);
   core_.office_lost(id_);
--- a/src/platform/link_finish.cpp
+++ b/src/platform/link_finish.cpp
@@ -41,7 +41,7 @@
   leave(std::move(line_), std::move(buffer_), Leaves::finished);
   line_.reset();
   buffer_ = {};
-  reach_.disconnected(net::now());
+  reach_.disconnected(net::now(), membership::Reachability::EndedBy::this_side);
 }
 
 }  // namespace reeltack::platform
--- /dev/null
+++ b/tests/crossings/scarce_connections_test.cpp
@@ -0,0 +1,110 @@
+// An endpoint that accepts no further connection, because it holds as many as it accepts or because its
+// process has died: a refused connection proves nothing about a call that stands on one that is open.
+#include <arpa/inet.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "crossings/endpoint_world.h"
+
+namespace reeltack::test {
+namespace {
+
+using Events = std::vector<std::string>;
+constexpr CallId kCall{0x91};
+
+// How many connections to an address the kernel keeps alive by probes of its own, as it lists them.
+std::size_t kept_alive_to(const net::Address& address) {
+  in_addr host{};
+  ::inet_pton(AF_INET, address.host.c_str(), &host);
+  char far_end[40];
+  std::snprintf(far_end, sizeof far_end, " %08X:%04X 01 ", host.s_addr, address.port);
+  std::ifstream table("/proc/net/tcp");
+  std::size_t count = 0;
+  for (std::string row; std::getline(table, row);) {
+    const bool to_it = row.find(far_end) != std::string::npos;
+    count += to_it && row.find(" 02:") != std::string::npos ? 1 : 0;
+  }
+  return count;
+}
+
+class ScarceConnections : public EndpointWorld {
+ protected:
+  void SetUp() override {
+    EndpointWorld::SetUp();
+    endpoint_ = &add(1);
+    first_ = connected(*endpoint_);
+    request(kCall);
+    ASSERT_TRUE(is(line(first_), "START", kCall));
+    say(first_, started_line(kCall));
+    turns();
+    ASSERT_TRUE(callers_.await(kCall, 1));
+  }
+  void refuse_connections() { endpoint_->listening.reset(); }
+  void accept_connections() { endpoint_->listening = net::listen_on(endpoint_->address); }
+  void turn_for(Duration span) {
+    for (const Time by = net::now() + span; net::now() < by;) {
+      turn();
+      net::pause_until(net::now() + 5ms);
+    }
+  }
+  void expect_stands_until_its_end(const net::Fd& connection) {
+    EXPECT_EQ(callers_.events(kCall), Events{"stands sdp"});
+    say(connection, end_line(kCall, 16));
+    turns();
+    ASSERT_TRUE(callers_.await(kCall, 2));
+    EXPECT_EQ(callers_.events(kCall), (Events{"stands sdp", "released 16"}));
+  }
+
+  FakeEndpoint* endpoint_ = nullptr;
+  net::Fd first_;
+};
+
+// Guards against calls that are cut while their office holds them (review/9).
+TEST_F(ScarceConnections, QuietConnectionIsKeptWhereASecondOneIsRefused) {
+  refuse_connections();
+  turn_for(7s);
+  expect_stands_until_its_end(first_);
+}
+
+// It is for the kernel to find out whether the quiet connection still leads anywhere.
+TEST_F(ScarceConnections, QuietConnectionIsKeptAliveOnceASecondOneIsRefused) {
+  EXPECT_EQ(kept_alive_to(endpoint_->address), 0U);
+  refuse_connections();
+  turn_for(3s);
+  EXPECT_EQ(kept_alive_to(endpoint_->address), 1U);
+}
+
+// The connection ends by the far end's doing after a refusal: the process has died.
+TEST_F(ScarceConnections, ProcessThatDiesAfterARefusalIsDead) {
+  refuse_connections();
+  turn_for(3s);
+  first_.reset();
+  turn_for(300ms);
+  ASSERT_TRUE(callers_.await(kCall, 2));
+  EXPECT_EQ(callers_.events(kCall), (Events{"stands sdp", "released 41"}));
+}
+
+// This side has closed the connection, and another controller has taken its place.
+TEST_F(ScarceConnections, RefusalAfterAConnectionThatThisSideClosedEndsNoCall) {
+  refuse_connections();
+  say(first_, "not a line of the protocol\n");
+  turn_for(1s);
+  EXPECT_TRUE(first_.far_end_closed());
+  accept_connections();
+  const net::Fd second = accept(*endpoint_);
+  turns();
+  expect_stands_until_its_end(second);
+}
+
+// As long as that, no message and no connection: its calls count as lost, as those of any silent office.
+TEST_F(ScarceConnections, RefusalsWithoutEndAfterSuchACloseAreALoss) {
+  refuse_connections();
+  say(first_, "not a line of the protocol\n");
+  turn_for(7s);
+  ASSERT_TRUE(callers_.await(kCall, 2));
+  EXPECT_EQ(callers_.events(kCall), (Events{"stands sdp", "released 41"}));
+}
+
+}  // namespace
+}  // namespace reeltack::test
