Tell a first answer that comes late from a second one in the load generator

Two final answers to a caller would break a rule that nothing excuses.

Cause: a caller gives up after 3.15 s, and the player awaits the end of that try for 2 s more, then forgets it. Where its controller was away for longer, the set-up still leaves once the controller is back, and the answer, the first one that this caller reads for that id, was taken for a second one. So it is the player, not the product.

Change: the player remembers tries that no answer has come to. The first answer to one is counted as late, and what stands by it is released; the next one is a second answer and a violation, which was so and is so. Results count as before: the try is unanswered.

--- a/src/load/plan/callers.cpp
+++ b/src/load/plan/callers.cpp
@@ -37,6 +37,14 @@
   return c < made_.size() && (plain >> 4U & 0xfffffffffffffULL) < made_[c];
 }
 
+std::uint64_t Callers::user_of(TryId id) const {
+  const std::uint64_t plain = unmix(static_cast<std::uint64_t>(id)) ^ salt_;
+  Arrival arrival;
+  arrival.call_class = static_cast<std::uint32_t>(plain >> 56U);
+  arrival.index = plain >> 4U & 0xfffffffffffffULL;
+  return user_of(key_of(arrival));
+}
+
 void Callers::arrive(Duration now, const Arrival& arrival, CallerActions& actions) {
   recorder_.planned(arrival.planned, arrival.call_class);
   recorder_.started(now, arrival.call_class, now - arrival.planned);
@@ -120,7 +128,7 @@
     const Due due = due_.top();
     due_.pop();
     if (due.what == Due::What::forget) {
-      settle(now, due.id, Result::unanswered);
+      settle_unanswered(now, due.id);
       continue;
     }
     const auto found = calls_.find(due.key);
@@ -151,6 +159,7 @@
   calls_.clear();
   current_.clear();
   abandoned_.clear();
+  unanswered_.clear();
   due_ = {};
   standing_ = 0;
 }
--- a/src/load/plan/callers.h
+++ b/src/load/plan/callers.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -62,12 +63,13 @@
   void released(Duration now, TryId id, bool cut);  // by the target
   void lost(Duration now, TryId id);                // the connection it was open on has ended
   void unreadable(const std::string& words) { recorder_.violation(&Violations::unreadable, words); }
-  void fire(Duration now, CallerActions& actions);                              // everything due by now
-  [[nodiscard]] Duration next_due() const;                                      // Duration::max(): nothing
-  [[nodiscard]] bool awaited(TryId id) const { return current_.contains(id); }  // else it need not leave
-  [[nodiscard]] std::size_t open() const { return open_; }                      // calls without a result
+  void fire(Duration now, CallerActions& actions);          // everything due by now
+  [[nodiscard]] Duration next_due() const;                  // Duration::max(): nothing
+  [[nodiscard]] std::size_t open() const { return open_; }  // calls without a result
   [[nodiscard]] std::size_t standing() const { return standing_; }
   [[nodiscard]] std::uint64_t crossed() const { return crossed_; }  // answers that met a giving up
+  // First answers to tries that count as unanswered already.
+  [[nodiscard]] std::uint64_t late() const { return late_; }
   // The run is over: what is open has waited until now and counts so; what stands is released.
   void close(Duration now, CallerActions& actions);
 
@@ -102,6 +104,7 @@
   [[nodiscard]] TryId id_of(const Arrival& a, std::uint32_t tries) const;
   [[nodiscard]] bool ever_made(TryId id) const;
   [[nodiscard]] std::uint64_t user_of(std::uint64_t key) const { return mix(key) % users_.size(); }
+  [[nodiscard]] std::uint64_t user_of(TryId id) const;  // of a try that this run has made
   static std::uint64_t key_of(const Arrival& a) { return std::uint64_t{a.call_class} << 52U | a.index; }
   Call* trying(TryId id);  // the call whose current try this is, still without an answer
   void unexpected(TryId id, const char* what);
@@ -111,6 +114,8 @@
   bool redial(Duration now, std::uint64_t key, Call& call, Duration later);  // false: no more
   void judge(Duration now, Call& call, Result result);
   void settle(Duration now, TryId id, Result result);  // an abandoned try's end is known
+  void settle_unanswered(Duration now, TryId id);
+  bool take_late_answer(TryId id);  // true: the first answer to a try that counts as unanswered
   void forget(std::uint64_t key) { calls_.erase(key); }
 
   const Scenario& scenario_;
@@ -120,12 +125,14 @@
   std::unordered_map<std::uint64_t, Call> calls_;     // by class and index
   std::unordered_map<TryId, std::uint64_t> current_;  // tries whose answer is awaited, or whose call stands
   std::unordered_map<TryId, Abandoned> abandoned_;
+  std::unordered_set<TryId> unanswered_;  // tries that no answer has come to, awaited no more
   std::vector<std::uint64_t> made_;  // arrivals of each class so far: indices below are calls of this run
   std::vector<TryId> users_;         // the try that each closed-loop caller waits for
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   std::size_t open_ = 0;
   std::size_t standing_ = 0;
   std::uint64_t crossed_ = 0;
+  std::uint64_t late_ = 0;
 };
 
 }  // namespace reeltack::load
--- a/src/load/plan/callers_answers.cpp
+++ b/src/load/plan/callers_answers.cpp
@@ -20,8 +20,15 @@
   }
 }
 
+// A target that was away answers a try when it is back, though its caller has given up long before.
+bool Callers::take_late_answer(TryId id) {
+  if (unanswered_.erase(id) == 0) return false;
+  ++late_;
+  return true;
+}
+
 void Callers::stands(Duration now, TryId id, std::string_view description, CallerActions& actions) {
-  if (check_ && (abandoned_.contains(id) || trying(id) != nullptr)) {
+  if (check_ && (abandoned_.contains(id) || unanswered_.contains(id) || trying(id) != nullptr)) {
     const std::string fault = check_description(description, static_cast<std::uint64_t>(id));
     if (!fault.empty())
       recorder_.violation(&Violations::foreign_descriptions,
@@ -32,6 +39,7 @@
     actions.push_back(ReleaseTry{id, user_of(abandoned_.at(id).key)});
     return settle(now, id, Result::given_up);
   }
+  if (take_late_answer(id)) return actions.push_back(ReleaseTry{id, user_of(id)});
   Call* call = trying(id);
   if (call == nullptr) return unexpected(id, "an answer");
   const LoadClass& c = scenario_.classes[call->arrival.call_class];
@@ -50,6 +58,7 @@
 void Callers::refused(Duration now, TryId id, No how, Duration later) {
   const Result result = how == No::refused ? Result::refused : Result::failed;
   if (abandoned_.contains(id)) return settle(now, id, Result::given_up);
+  if (take_late_answer(id)) return;
   Call* call = trying(id);
   if (call == nullptr) return unexpected(id, "a refusal");
   const std::uint64_t key = key_of(call->arrival);
@@ -71,6 +80,11 @@
   forget(a.key);
 }
 
+void Callers::settle_unanswered(Duration now, TryId id) {
+  if (abandoned_.contains(id)) unanswered_.insert(id);
+  settle(now, id, Result::unanswered);
+}
+
 void Callers::heard_give_up(Duration now, TryId id) {
   // The confirmation of a given-up try does not end the try: its final answer may still be on its way.
   // Only the call's result no longer hangs on it.
@@ -105,12 +119,13 @@
 }
 
 void Callers::lost(Duration now, TryId id) {
-  if (abandoned_.contains(id)) return settle(now, id, Result::unanswered);
+  if (abandoned_.contains(id)) return settle_unanswered(now, id);
   Call* call = trying(id);
   if (call == nullptr) return;  // no connection owns a call that stands
   const std::uint64_t key = key_of(call->arrival);
   measure(now, *call);
   current_.erase(id);
+  unanswered_.insert(id);
   if (redial(now, key, *call, Duration{})) return;
   judge(now, *call, Result::unanswered);
   forget(key);
--- a/src/load/player.cpp
+++ b/src/load/player.cpp
@@ -16,7 +16,6 @@
 using boost::system::error_code;
 using namespace std::chrono_literals;
 using Steady = std::chrono::steady_clock;
-
 constexpr Duration kTurn = 100ms;  // so often it is looked for an end
 
 // By Said::What; what was released or cut stood before.
@@ -71,6 +70,7 @@
     run_->peak_mb = after.peak_mb;
     run_->beyond = schedule_->beyond();
     run_->crossed = callers_->crossed();
+    run_->late = callers_->late();
     run_->tries = tries_.records();
     return std::move(run_);
   }
--- a/src/load/player.h
+++ b/src/load/player.h
@@ -39,6 +39,7 @@
   std::uint64_t breaks = 0;         // connections that ended by the target
   std::uint64_t left_standing = 0;  // calls released at the end of the run
   std::uint64_t crossed = 0;        // answers that met a giving up
+  std::uint64_t late = 0;           // first answers to tries that count as unanswered
   std::size_t connections = 0;
   std::vector<TryRecord> tries;  // empty unless they were to be kept; times of base::now()
   double cpu_seconds = 0.0;      // of this process
--- a/src/load/report_json.cpp
+++ b/src/load/report_json.cpp
@@ -93,6 +93,7 @@
   out["closed_loop_ms"] = spread_json(r.closed_loop());
   out["left_standing"] = run.left_standing;
   out["crossed"] = run.crossed;
+  out["late"] = run.late;
   out["run"] = run_json(run);
   for (std::size_t i = 0; i < r.classes().size(); ++i)
     out["classes"][run.scenario.classes[i].name] = tally_json(r.classes()[i]);
