Remove offices that have left the zone once they hold no calls

Cause: an office that leaves the zone is listed as draining for the sake of its calls, and nothing ever removed it; each update listed all of them again.

Change: while any office is leaving, the core is asked once a second which ones hold calls or set-ups. One without for 10 s is listed as gone. An office is listed as draining once.

LeavingOfficesOfAZone.AreRemovedOnceTheyHoldNoCalls failed with the removal taken out.

--- a/src/core/call_table.cpp
+++ b/src/core/call_table.cpp
@@ -155,6 +155,15 @@
   return out;
 }
 
+std::set<ServerId> Core::offices_in_use() const {
+  std::set<ServerId> out;
+  for (const auto& [office, by_connection] : established_at_office_) out.insert(office);
+  for (const auto& [call, record] : calls_) {
+    if (record.pending) out.insert(record.pending->office);
+  }
+  return out;
+}
+
 void Core::drop_call(Record& record) {
   report_attempt_ended(record, {record.attempts - 1, record.office, now_}, AttemptOutcome::reset, true);
   end_established(record);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -52,6 +53,8 @@
   void cancel(CallId call, const CallerFrontend& frontend);            // the caller no longer waits
   void release(CallId call, const CallerFrontend& frontend);           // the caller ends an established call
   void query(CallId call, std::function<void(const Status&)> answer);  // `answer` runs on the core's thread
+  // The offices at which calls are established or attempted; `answer` runs on the core's thread.
+  void query_offices_in_use(std::function<void(std::set<ServerId>)> answer);
   void run_at(Time time, std::function<void()> task);  // on the core's thread, at `time` or soon after
   // For backends.
   // `connection`: on which the answer came.
@@ -146,6 +149,7 @@
   void drop_calls_on(ServerId office, ConnectionNumber last);
   void drop_calls_before_restart(ServerId office);
   [[nodiscard]] std::vector<CallId> calls_at(ServerId office, ConnectionNumber last) const;
+  [[nodiscard]] std::set<ServerId> offices_in_use() const;
   void drop_call(Record& record);
   void apply_list(bool complete, const std::vector<OfficeEntry>& offices);
   void count_established(const Record& record);
--- a/src/core/inbox.cpp
+++ b/src/core/inbox.cpp
@@ -57,6 +57,9 @@
     answer(r == nullptr ? Status{} : Status{r->phase, r->reason, r->answer, r->request.frontend});
   });
 }
+void Core::query_offices_in_use(std::function<void(std::set<ServerId>)> answer) {
+  post([this, answer = std::move(answer)] { answer(offices_in_use()); });
+}
 void Core::run_at(Time time, std::function<void()> task) {
   post([this, time, task = std::move(task)]() mutable {
     timers_.emplace(time, Timer{Timer::Kind::task, 0, 0, std::move(task)});
--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -64,6 +64,10 @@
   void confirm_current();
   void update(Source source, bool complete, std::vector<OfficeEntry> offices);
   [[nodiscard]] bool listed_by_other_source(Source source, ServerId office);
+  // Core::query_offices_in_use.
+  void query_offices_in_use(std::function<void(std::set<ServerId>)> answer) {
+    core_.query_offices_in_use(std::move(answer));
+  }
 
  private:
   void change_followed(bool followed);
--- a/src/dns/updates.cpp
+++ b/src/dns/updates.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t kMaxConnections = 16;
 // Within half of the time in which an endpoint that has left the zone must get nothing new.
 constexpr Duration kFollowInterval = 100ms;
+// The core looks through its calls each time that it is asked which offices are in use.
+constexpr Duration kInUseInterval = 1s;
 
 }  // namespace
 
@@ -42,7 +44,7 @@
   UpdateServer& updates_;
 };
 
-// Looks at the file at intervals, on the listener's loop.
+// Looks at the file and at the endpoints that have left it at intervals, on the listener's loop.
 class UpdateServer::Follower final : public net::EventHandler {
  public:
   Follower(UpdateServer& updates, net::Loop& loop) : updates_(updates), loop_(loop) {}
@@ -71,7 +73,6 @@
 
 void UpdateServer::open(const net::Address& at) {
   listener_.open(at);
-  if (file_.in_memory()) return;
   const auto follower = std::make_shared<Follower>(*this, listener_.loop());
   follower->id = listener_.loop().add(follower);
   listener_.loop().wake(follower->id);  // its first event may have come before its id
@@ -115,6 +116,35 @@
 void UpdateServer::follow() {
   const std::lock_guard hold(lock_);
   take_over();
+  remove_idle();
+}
+
+// Requires the lock. The core answers on its own thread, and the answer is used at a later call.
+void UpdateServer::remove_idle() {
+  const Time at = net::now();
+  if (asked_) {
+    const auto in_use = asked_->take();
+    if (!in_use) return;
+    asked_.reset();
+    ask_at_ = at + kInUseInterval;
+    return remove(leaving_.take_idle(*in_use, at));
+  }
+  if (leaving_.empty() || at < ask_at_) return;
+  asked_ = std::make_shared<OfficesInUse>();
+  list_.query_offices_in_use(
+      [asked = asked_](std::set<ServerId> offices) { asked->give(std::move(offices)); });
+}
+
+// Requires the lock.
+void UpdateServer::remove(const std::vector<ServerId>& endpoints) {
+  std::vector<core::OfficeEntry> changes;
+  for (const ServerId id : endpoints) {
+    const auto found = published_.find(id);
+    changes.push_back(std::move(found->second));
+    changes.back().entry.state = ServerState::gone;
+    published_.erase(found);
+  }
+  if (!changes.empty()) list_.update(core::Source::zone, false, std::move(changes));
 }
 
 // Requires the lock. False: the file cannot be read.
@@ -137,7 +167,15 @@
   return derived_id(base::office_name(id) + "@" + endpoint.address);
 }
 
-// Requires the lock. An endpoint that left the zone is listed as draining, never just omitted.
+// Requires the lock. An endpoint that left the zone is never just omitted.
+void UpdateServer::list_as_draining(core::OfficeEntry& endpoint, std::vector<core::OfficeEntry>& changes) {
+  if (endpoint.entry.state == ServerState::draining) return;  // listed so before
+  endpoint.entry.state = ServerState::draining;
+  leaving_.left(endpoint.entry.server, net::now());
+  changes.push_back(endpoint);
+}
+
+// Requires the lock.
 void UpdateServer::publish() {
   std::vector<std::string> missing;
   std::vector<core::OfficeEntry> current = zone_.offices(service_, &missing);
@@ -148,9 +186,7 @@
   for (auto& [id, entry] : published_) {
     const bool found = std::any_of(current.begin(), current.end(),
                                    [id = id](const core::OfficeEntry& o) { return o.entry.server == id; });
-    if (found) continue;
-    entry.entry.state = ServerState::draining;
-    changes.push_back(entry);
+    found ? leaving_.returned(id) : list_as_draining(entry, changes);
   }
   for (const core::OfficeEntry& office : changes) published_[office.entry.server] = office;
   list_.update(core::Source::zone, false, std::move(changes));
