Remove the FIFO of the test of signals before the program is up

The test left a FIFO in the place of fronts.json in the folder that is named after its process. A later test in the same folder (in one run of the test program, or after a process id came again) waits without end as it writes that file: seen with the thread sanitizer, ShutdownCrossings.* in one process.

Change: the FIFO is removed once both ends are open, and at the test's end.

--- a/tests/crossings/shutdown_process_test.cpp
+++ b/tests/crossings/shutdown_process_test.cpp
@@ -6,6 +6,11 @@
 
 class ShutdownCrossings : public Program {
  protected:
+  // A FIFO that stays would hold up the next test with the same folder.
+  void TearDown() override {
+    std::filesystem::remove(dir() + "/fronts.json");
+    Program::TearDown();
+  }
   void terminate() {
     signal(SIGTERM);
     ASSERT_TRUE(read_log("asked to end")) << seen_;
@@ -55,6 +60,7 @@
   signal(SIGTERM);
   net::Fd file = open_for_reader(fronts);
   ASSERT_TRUE(static_cast<bool>(file));
+  std::filesystem::remove(fronts);  // both ends are open
   constexpr std::string_view kFronts = R"({"websocket":{"on":false}})";
   ASSERT_EQ(::write(file.get(), kFronts.data(), kFronts.size()), static_cast<ssize_t>(kFronts.size()));
   file.reset();
