Share the set-up of established calls among the tests of endpoints

Two tests repeated how a call is established and two how time passes for a link; both stand in one header now. No assertion is changed.

--- a/tests/crossings/endpoint_new_process_test.cpp
+++ b/tests/crossings/endpoint_new_process_test.cpp
@@ -1,6 +1,6 @@
 // An endpoint's process dies and another one comes up under its id and address; calls are set up there before
 // discovery tells of the new start. Only the calls of the earlier process have ended.
-#include "crossings/endpoint_world.h"
+#include "crossings/established_calls.h"
 
 namespace reeltack::test {
 namespace {
@@ -10,7 +10,7 @@
 constexpr CallId kAfter{0x82};
 constexpr StartId kNewStart{5000};
 
-class EndpointNewProcess : public EndpointWorld {
+class EndpointNewProcess : public EstablishedCalls {
  protected:
   void SetUp() override {
     EndpointWorld::SetUp();
@@ -18,13 +18,6 @@
     first_ = connected(*endpoint_);
     establish(kBefore, first_);
   }
-  void establish(CallId call, const net::Fd& connection) {
-    request(call);
-    ASSERT_TRUE(is(line(connection), "START", call));
-    say(connection, started_line(call));
-    turns();
-    ASSERT_TRUE(callers_.await(call, 1));
-  }
   // The earlier process dies, and the next one is there before a connection can be refused.
   net::Fd replace_process() {
     const linger at_once{1, 0};
--- a/tests/crossings/endpoint_restart_test.cpp
+++ b/tests/crossings/endpoint_restart_test.cpp
@@ -1,6 +1,6 @@
 // An endpoint whose machine vanishes and comes back with a new process under its id and address: the calls of
 // the earlier process have ended, though new connections come up. Discovery may tell of it too late.
-#include "crossings/endpoint_world.h"
+#include "crossings/established_calls.h"
 
 namespace reeltack::test {
 namespace {
@@ -9,7 +9,7 @@
 constexpr CallId kBefore{0x71};
 constexpr CallId kAfter{0x72};
 
-class EndpointRestart : public EndpointWorld {
+class EndpointRestart : public EstablishedCalls {
  protected:
   void SetUp() override {
     EndpointWorld::SetUp();
@@ -17,13 +17,6 @@
     first_ = connected(*endpoint_);
     establish(kBefore, first_);
   }
-  void establish(CallId call, const net::Fd& connection) {
-    request(call);
-    ASSERT_TRUE(is(line(connection), "START", call));
-    say(connection, started_line(call));
-    turns();
-    ASSERT_TRUE(callers_.await(call, 1));
-  }
   // A machine that has started anew resets what it does not know.
   static void reset(net::Fd& connection) {
     const linger at_once{1, 0};
@@ -49,12 +42,6 @@
     while (out && out.far_end_closed()) out = accept(*endpoint_);  // one of the queue, or dialled in vain
     return out;
   }
-  void turn_for(Duration span) {
-    for (const Time by = net::now() + span; net::now() < by;) {
-      turn();
-      net::pause_until(net::now() + 5ms);
-    }
-  }
   void expect_dropped(CallId call) {
     ASSERT_TRUE(callers_.await(call, 2));
     EXPECT_EQ(callers_.events(call).back(), "released 41");
--- a/tests/crossings/scarce_connections_test.cpp
+++ b/tests/crossings/scarce_connections_test.cpp
@@ -5,7 +5,7 @@
 #include <cstdio>
 #include <fstream>
 
-#include "crossings/endpoint_world.h"
+#include "crossings/established_calls.h"
 
 namespace reeltack::test {
 namespace {
@@ -28,26 +28,16 @@
   return count;
 }
 
-class ScarceConnections : public EndpointWorld {
+class ScarceConnections : public EstablishedCalls {
  protected:
   void SetUp() override {
     EndpointWorld::SetUp();
     endpoint_ = &add(1);
     first_ = connected(*endpoint_);
-    request(kCall);
-    ASSERT_TRUE(is(line(first_), "START", kCall));
-    say(first_, started_line(kCall));
-    turns();
-    ASSERT_TRUE(callers_.await(kCall, 1));
+    establish(kCall, first_);
   }
   void refuse_connections() { endpoint_->listening.reset(); }
   void accept_connections() { endpoint_->listening = net::listen_on(endpoint_->address); }
-  void turn_for(Duration span) {
-    for (const Time by = net::now() + span; net::now() < by;) {
-      turn();
-      net::pause_until(net::now() + 5ms);
-    }
-  }
   void expect_stands_until_its_end(const net::Fd& connection) {
     EXPECT_EQ(callers_.events(kCall), Events{"stands sdp"});
     say(connection, end_line(kCall, 16));
