Ring the bell for certain in the exchange whose bell's write and read fail

A loop that is awake is not signalled, and on a loaded machine every wake of the counting run could find its loop awake: the kind was visited 0 times, where the test asks for more than none (every_call.cpp: EXPECT_GT(visited, 0U)).

The endpoints are now listed until a list has found the loop asleep, in each run of the exchange and under each fault; no check is changed.

--- a/tests/system_calls/exchange.cpp
+++ b/tests/system_calls/exchange.cpp
@@ -42,7 +42,13 @@
   std::vector<core::OfficeEntry> listed;
   for (std::uint32_t n = 0; n < endpoints.size(); ++n)
     listed.push_back({{.server = ServerId{n + 1}, .place = n}, net::to_text(endpoints[n].address)});
-  core->update_offices(true, listed);
+  // A loop that is awake needs no bell, so the bell rings only once a list has found the loop asleep.
+  const std::uint64_t rings = faults::visited(faults::Call::write);
+  EXPECT_TRUE(until([&] {
+    const faults::ProgramCalls counted;
+    core->update_offices(true, listed);
+    return faults::visited(faults::Call::write) > rings;
+  })) << "the bell does not ring";
 }
 
 bool Exchange::until(const std::function<bool()>& holds) {
--- a/tests/system_calls/exchange.h
+++ b/tests/system_calls/exchange.h
@@ -24,7 +24,9 @@
   Exchange();
   ~Exchange();
   void start();  // throws std::runtime_error where the program can't start
-  void list();   // the endpoints, which are dialled then
+  // The endpoints, which are dialled then. The bell of the links' loop has rung: its calls are among those
+  // visited.
+  void list();
   // Calls that stand, are refused, released and cancelled, and two in one write.
   void play();
   // A further call stands, at the third try at the latest.
