Give an endpoint that drops twice the whole time to return after the second

The timer asked only whether the endpoint was connected at that moment.

The endpoint now has the time at which it is removed, set by each drop, and a timer removes it only if that time is its own.

WebSocketEndpoint.DroppingTwiceItHasTheWholeTimeToReturnAfterTheSecond: failed without the change (1 release where 0 are allowed, 2.2 s into the second drop), passes with it.

--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -60,6 +60,7 @@
     core::OfficeEntry entry;
     std::weak_ptr<Connection> connection;
     std::map<CallId, membership::OpenAttempt> attempts;
+    Time remove_at = net::kNever;                                  // while it has no connection
     membership::PendingReleases releases;                          // sent on the connection
     std::vector<std::pair<CallId, std::string>> pending_releases;  // releases for the next connection
   };
@@ -76,7 +77,7 @@
   bool bind_connection(const ConnectionPtr& from, const std::string& name, const core::OfficeEntry& entry);
   void read_previous_to_end(ServerId id, const ConnectionPtr& registering);
   void endpoint_lost(const ConnectionPtr& connection);
-  void remove_if_disconnected(core::OfficeEntry entry);
+  void remove_if_due(ServerId id, Time due);
   // Requires the lock.
   ConnectionPtr connection_of(ServerId id);
   static void send_release(Endpoint& endpoint, CallId call, std::string message);
--- a/src/ws/registrations.cpp
+++ b/src/ws/registrations.cpp
@@ -91,12 +91,14 @@
 void Frontend::endpoint_lost(const ConnectionPtr& connection) {
   std::map<CallId, membership::OpenAttempt> attempts;
   core::OfficeEntry entry;
+  const Time remove_at = net::now() + kReconnectTimeout;
   {
     const std::lock_guard hold(lock_);
     if (!connection->endpoint) return;
     Endpoint& endpoint = endpoints_[*connection->endpoint];
     if (endpoint.connection.lock() != connection) return;
     endpoint.connection.reset();
+    endpoint.remove_at = remove_at;
     attempts.swap(endpoint.attempts);
     if (endpoint.entry.entry.state == ServerState::ready) endpoint.entry.entry.state = ServerState::draining;
     entry = endpoint.entry;
@@ -112,14 +114,18 @@
     core_.attempt_failed(call, attempt.number(),
                          attempt.is_transmitted() ? AttemptOutcome::reset : AttemptOutcome::not_sent);
   // An established call is not tied to a connection, but an endpoint that does not return has lost its calls.
-  core_.run_at(net::now() + kReconnectTimeout, [this, entry] { remove_if_disconnected(entry); });
+  core_.run_at(remove_at, [this, id = entry.entry.server, remove_at] { remove_if_due(id, remove_at); });
 }
 
-void Frontend::remove_if_disconnected(core::OfficeEntry entry) {
+// An endpoint that has returned and was lost again has a later due time.
+void Frontend::remove_if_due(ServerId id, Time due) {
+  core::OfficeEntry entry;
   {
     const std::lock_guard hold(lock_);
-    const auto found = endpoints_.find(entry.entry.server);
-    if (found == endpoints_.end() || found->second.connection.lock()) return;
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || found->second.connection.lock() || found->second.remove_at != due)
+      return;
+    entry = found->second.entry;
     endpoints_.erase(found);
   }
   entry.entry.state = ServerState::gone;
--- a/tests/crossings/websocket_endpoint_drop_test.cpp
+++ b/tests/crossings/websocket_endpoint_drop_test.cpp
@@ -95,6 +95,28 @@
   EXPECT_TRUE(callers_.await_answer(kCall).stands);
 }
 
+// The time of a first drop ran out after a second one, and its calls were cut 2 s into the 6 s of the second.
+TEST_F(WebSocketEndpoint, DroppingTwiceItHasTheWholeTimeToReturnAfterTheSecond) {
+  constexpr Duration kToReturn = 6s;
+  constexpr Duration kBetween = 4s;
+  constexpr Duration kLate = 200ms;
+  run_endpoints(usual_settings());
+  WebSocketPeer& first = connect_endpoint(kFirst);
+  let_stand(first, kCall);
+  drop(first, Drop::close);
+  ASSERT_TRUE(first.await_over());
+  const Time first_drop = base::now();
+  WebSocketPeer& second = connect_endpoint(kFirst);
+  settle_at(*core_, first_drop + kBetween);
+  drop(second, Drop::close);
+  ASSERT_TRUE(second.await_over());
+  const Time second_drop = base::now();
+  settle_at(*core_, first_drop + kToReturn + kLate);
+  EXPECT_EQ(callers_.releases(kCall), 0U);
+  settle_at(*core_, second_drop + kToReturn + kLate);
+  EXPECT_EQ(callers_.releases(kCall), 1U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Each, WebSocketEndpointDrops,
                          ::testing::Values(Drop::close, Drop::half_close, Drop::reset),
                          [](const auto& drop) { return std::string(name_of(drop.param)); });
