Notice a silent centrale with calls after 5.5 s, as on the platform's front

The WebSocket front pinged a quiet peer after 20 s and gave it up after 20 s more, whatever stood there; keep_connection(), by which the core tells that calls stand, was empty.

While calls stand at a centrale it is pinged after half of the platform's time of silence and its connection is ended after the whole (5.5 s); it then has 2 s to register again in place of 6. Without calls nothing changes.

--- a/src/limits/peer_deadlines.h
+++ b/src/limits/peer_deadlines.h
@@ -32,6 +32,7 @@
   void set_partial_message(bool some);  // whether bytes of a further message are left
   void set_output_blocked(bool blocked, Time at);
   void probed(Time at) { idle_since_ = at; }  // the peer was probed after a silence
+  void set_idle_limit(Duration idle) { settings_.idle = idle; }
 
   [[nodiscard]] bool served() const { return served_; }  // a complete message has arrived
   [[nodiscard]] bool has_partial_message() const { return partial_message_; }
--- a/src/net/peer.cpp
+++ b/src/net/peer.cpp
@@ -24,7 +24,8 @@
 Peer::Peer(Fd fd, Duration quiet)
     : fd_(std::move(fd)),
       owner_(next_owner()),
-      patience_(limits::PeerTimeoutSettings{.idle = quiet}, connected_) {}
+      patience_(limits::PeerTimeoutSettings{.idle = quiet}, connected_),
+      quiet_limit_(quiet) {}
 
 void Peer::begin(Loop& loop, std::function<void(Peer&)> over) {
   loop_ = &loop;
@@ -77,6 +78,7 @@
 void Peer::enforce_limits() {
   const Time at = now();
   patience_.set_output_blocked(outbox_.congested(), at);
+  patience_.set_idle_limit(quiet_limit_);
   if (closing_ == Closing::despite_input) return stop_reading();
   if (may_close()) {
     closed_between_messages_ = drain_input_ = takes_after_close();
@@ -148,6 +150,10 @@
   fd_.shut();
   loop_->wake(id_);
 }
+void Peer::set_quiet_limit(Duration quiet) {
+  quiet_limit_ = quiet;
+  loop_->wake(id_);
+}
 void Peer::opened(CallId call) {
   const std::lock_guard hold(lock_);
   open_.insert(call);
--- a/src/net/peer.h
+++ b/src/net/peer.h
@@ -4,9 +4,9 @@
 // its orderly end. It does not end while a set-up received on it is open, unless the far end closes or a
 // limit is exceeded. Message formats are left to the subclasses.
 //
-// Threads: the functions that subclasses override run on the loop's thread; push, cut, opened, established,
-// closed, eviction_rank, evict, close and close_by may be called from any thread. Times are absolute. A peer
-// lives while any component holds it, and over() is true once its connection has ended.
+// Threads: the functions that subclasses override run on the loop's thread; push, cut, set_quiet_limit,
+// opened, established, closed, eviction_rank, evict, close and close_by may be called from any thread. Times
+// are absolute. A peer lives while any component holds it, and over() is true once its connection has ended.
 #pragma once
 
 #include <atomic>
@@ -35,7 +35,8 @@
   bool push(std::string bytes, std::uint64_t tag = 0, Outbox::Check check = {});
   [[nodiscard]] bool behind() const { return outbox_.behind(); }
   [[nodiscard]] bool blocked() const { return outbox_.blocked(); }
-  void cut();  // ends the connection at once, whatever is queued
+  void cut();                            // ends the connection at once, whatever is queued
+  void set_quiet_limit(Duration quiet);  // in place of the constructor's
   [[nodiscard]] bool over() const { return over_; }
 
   // A set-up was received here; its call was established; it was answered otherwise, or its call has ended.
@@ -155,6 +156,7 @@
   [[nodiscard]] Time over_by() const { return Time{Duration{over_by_.load()}}; }
   std::atomic<bool> over_{false};
   std::atomic<bool> cut_{false};
+  std::atomic<Duration> quiet_limit_;
 };
 
 }  // namespace reeltack::net
--- a/src/ws/connection.cpp
+++ b/src/ws/connection.cpp
@@ -1,5 +1,6 @@
 #include "ws/connection.h"
 
+#include "membership/reachability.h"
 #include "ws/messages.h"
 
 namespace reeltack::ws {
@@ -7,6 +8,8 @@
 
 // Silence after which the peer is pinged; after as much again the connection is closed.
 constexpr Duration kPingInterval = std::chrono::seconds(20);
+// The same while calls are established at the endpoint: a silent one is noticed as soon as on the platform.
+constexpr Duration kPingIntervalWithCalls = membership::ReachabilitySettings{}.loss_timeout / 2;
 constexpr const char* kClients = "/calls";
 constexpr const char* kEndpoints = "/centrales";
 
@@ -84,8 +87,13 @@
   hang_up();
 }
 
+void Connection::set_calls_established(bool established) {
+  set_quiet_limit(established ? kPingIntervalWithCalls : kPingInterval);
+}
+
 net::Peer::Next Connection::on_quiet() {
   if (pinged_) {  // the ping was not answered either
+    silent_ = true;
     send_close(kGoingAway, "silent");
     return Next::end;
   }
--- a/src/ws/connection.h
+++ b/src/ws/connection.h
@@ -21,6 +21,10 @@
   [[nodiscard]] bool serves_endpoint() const { return serves_endpoint_; }
   std::optional<ServerId> endpoint;  // the endpoint registered on this connection
   void mark_registered() { registered_ = true; }
+  // Calls are established at the endpoint: its silence is noticed sooner.
+  void set_calls_established(bool established);
+  // It was ended because the far end did not answer a ping; valid once on_left() is called.
+  [[nodiscard]] bool was_silent() const { return silent_; }
 
  protected:
   Next received() override;
@@ -38,6 +42,7 @@
   std::string path_;  // empty until the handshake
   Assembler assembler_;
   bool pinged_ = false;  // a ping was sent and nothing received since
+  bool silent_ = false;
   std::atomic<bool> serves_endpoint_{false};
   std::atomic<bool> registered_{false};
   std::mutex sending_;  // guards close_sent_, and that nothing is sent after a close frame
--- a/src/ws/front.h
+++ b/src/ws/front.h
@@ -51,7 +51,7 @@
   void start(const core::SetUp& set_up) override;
   void cancel(ServerId office, CallId call, std::uint32_t attempt) override;
   void release(ServerId office, CallId call) override;
-  void keep_connection(ServerId /*office*/, bool /*calls_established*/) override {}
+  void keep_connection(ServerId office, bool calls_established) override;
 
  private:
   friend class Connection;
@@ -60,6 +60,7 @@
     core::OfficeEntry entry;
     std::weak_ptr<Connection> connection;
     std::map<CallId, membership::OpenAttempt> attempts;
+    bool calls_established = false;
     Time remove_at = net::kNever;                                  // while it has no connection
     membership::PendingReleases releases;                          // sent on the connection
     std::vector<std::pair<CallId, std::string>> pending_releases;  // releases for the next connection
--- a/src/ws/registrations.cpp
+++ b/src/ws/registrations.cpp
@@ -11,6 +11,8 @@
 
 // An endpoint that has no connection for this long has lost its calls.
 constexpr Duration kReconnectTimeout = 6s;
+// The same where its silence has ended the connection: it has been out of reach for some seconds already.
+constexpr Duration kReturnAfterSilence = 2s;
 // Bound on the events needed to read a closed connection to its end: more than a receive buffer can hold.
 constexpr int kMaxEvents = 4096;
 
@@ -60,6 +62,7 @@
   endpoint.connection = from;
   from->endpoint = id;
   from->mark_registered();
+  if (endpoint.calls_established) from->set_calls_established(true);
   from->send(R"({"type":"registered","centrale":)" + quoted(name) + "}");
   for (auto& [call, release] : std::exchange(endpoint.pending_releases, {}))
     send_release(endpoint, call, release);
@@ -81,6 +84,15 @@
   }
 }
 
+void Frontend::keep_connection(ServerId office, bool calls_established) {
+  const std::lock_guard hold(lock_);
+  const auto found = endpoints_.find(office);
+  if (found == endpoints_.end()) return;
+  found->second.calls_established = calls_established;
+  if (const ConnectionPtr connection = found->second.connection.lock())
+    connection->set_calls_established(calls_established);
+}
+
 Frontend::ConnectionPtr Frontend::connection_of(ServerId id) {
   const auto found = endpoints_.find(id);
   return found == endpoints_.end() ? nullptr : found->second.connection.lock();
@@ -91,7 +103,7 @@
 void Frontend::endpoint_lost(const ConnectionPtr& connection) {
   std::map<CallId, membership::OpenAttempt> attempts;
   core::OfficeEntry entry;
-  const Time remove_at = net::now() + kReconnectTimeout;
+  const Time remove_at = net::now() + (connection->was_silent() ? kReturnAfterSilence : kReconnectTimeout);
   {
     const std::lock_guard hold(lock_);
     if (!connection->endpoint) return;
--- a/tests/crossings/websocket_endpoint_drop_test.cpp
+++ b/tests/crossings/websocket_endpoint_drop_test.cpp
@@ -117,6 +117,78 @@
   EXPECT_EQ(callers_.releases(kCall), 1U);
 }
 
+// The machine of an endpoint vanished, and its calls stood for 42 s: silence was noticed after 40 s.
+class SilentWebSocketEndpoint : public WebSocketEndpoint {
+ protected:
+  static constexpr Duration kReleasedWithin = 8s;  // of the end of a call whose release could not be sent
+  static constexpr Duration kTurn = 20ms;
+
+  // Gives all connections their turns until then; those of `answering` answer what they are asked.
+  void run_until(Time until, std::initializer_list<WebSocketPeer*> answering) {
+    while (base::now() < until) {
+      for (WebSocketPeer* peer : answering) answer_ping(*peer);
+      for (const auto& peer : peers_) {
+        if (!peer->over) peer->step();
+      }
+      net::pause_until(base::now() + kTurn);
+    }
+    settle(*core_);
+  }
+  static void answer_ping(const WebSocketPeer& peer) {
+    char first = 0;
+    const bool waits = ::recv(peer.far.fd(), &first, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+    if (!waits || (first & 15) != ws::kOpPing) return;
+    std::string ping(8, '\0');  // two octets and "there?"
+    ASSERT_EQ(::recv(peer.far.fd(), ping.data(), ping.size(), MSG_WAITALL), 8);
+    peer.send_bytes(StandIn::masked(ws::kOpPong, ping.substr(2)));
+  }
+};
+
+TEST_F(SilentWebSocketEndpoint, ItsCallsAreReleasedInTimeAndThoseOfOneThatAnswersPingsStand) {
+  run_endpoints(usual_settings());
+  WebSocketPeer& silent = connect_endpoint(kFirst);
+  let_stand(silent, kCall);
+  silent.send(R"({"type":"drain"})");  // so that the other gets the next call
+  expect_message(silent, {"draining"});
+  WebSocketPeer& answering = connect_endpoint(kSecond);
+  let_stand(answering, kOther);
+  const Time last_word = base::now();
+  run_until(last_word + kReleasedWithin, {&answering});
+  EXPECT_EQ(callers_.releases(kCall), 1U);
+  EXPECT_EQ(callers_.releases(kOther), 0U);
+  EXPECT_FALSE(answering.over);
+}
+
+// Its connection was cut off while its process lives, and it registers on a new one.
+TEST_F(SilentWebSocketEndpoint, ReturningSoonAfterItsSilenceWasNoticedItKeepsItsCalls) {
+  constexpr Duration kNoticedWithin = 6s;
+  run_endpoints(usual_settings());
+  WebSocketPeer& silent = connect_endpoint(kFirst);
+  let_stand(silent, kCall);
+  const Time last_word = base::now();
+  run_until(last_word + kNoticedWithin, {});
+  EXPECT_TRUE(silent.over);
+  EXPECT_EQ(callers_.releases(kCall), 0U);
+  WebSocketPeer& next = connect_endpoint(kFirst);
+  run_until(last_word + kReleasedWithin + 1s, {&next});
+  EXPECT_EQ(callers_.releases(kCall), 0U);
+  next.send(about("ended", kCall, R"(,"cause":16)"));
+  settle(*core_);
+  EXPECT_EQ(callers_.releases(kCall), 1U);
+}
+
+// Where no call stands, 20 s of silence are allowed.
+TEST_F(SilentWebSocketEndpoint, WithoutACallItIsNotPingedSoon) {
+  run_endpoints(usual_settings());
+  WebSocketPeer& endpoint = connect_endpoint(kFirst);
+  let_stand(endpoint, kCall);
+  release(kCall);
+  expect_release(endpoint, kCall);
+  run_until(base::now() + 6s, {});
+  expect_nothing(endpoint);
+  EXPECT_FALSE(endpoint.over);
+}
+
 INSTANTIATE_TEST_SUITE_P(Each, WebSocketEndpointDrops,
                          ::testing::Values(Drop::close, Drop::half_close, Drop::reset),
                          [](const auto& drop) { return std::string(name_of(drop.param)); });
