Read the kernel's list of connections in one place in the tests

Two tests read /proc/net/tcp on their own, with the same lines but for the state of the connection. Both now ask connections_to().

--- a/tests/crossings/discovery_moves_test.cpp
+++ b/tests/crossings/discovery_moves_test.cpp
@@ -1,24 +1,13 @@
 // A watch that is moved to another address: only the last place that was named is followed.
-#include <arpa/inet.h>
-
-#include <cstdio>
-#include <fstream>
-
 #include "crossings/discovery_world.h"
+#include "crossings/kernel_connections.h"
 
 namespace reeltack::test {
 namespace {
 
-// How many connections to an address are begun and not up, as the kernel lists them.
+// How many connections to an address are begun and not up.
 std::size_t connecting_to(const net::Address& address) {
-  in_addr host{};
-  ::inet_pton(AF_INET, address.host.c_str(), &host);
-  char wanted[40];
-  std::snprintf(wanted, sizeof wanted, " %08X:%04X 02 ", host.s_addr, address.port);
-  std::ifstream table("/proc/net/tcp");
-  std::size_t count = 0;
-  for (std::string row; std::getline(table, row);) count += row.find(wanted) != std::string::npos ? 1 : 0;
-  return count;
+  return connections_to(address, KernelState::connecting).size();
 }
 
 class DiscoveryMoves : public DiscoveryWorld {};
--- a/tests/crossings/scarce_connections_test.cpp
+++ b/tests/crossings/scarce_connections_test.cpp
@@ -1,11 +1,9 @@
 // An endpoint that accepts no further connection, because it holds as many as it accepts or because its
 // process has died: a refused connection proves nothing about a call that stands on one that is open.
-#include <arpa/inet.h>
-
-#include <cstdio>
-#include <fstream>
+#include <algorithm>
 
 #include "crossings/established_calls.h"
+#include "crossings/kernel_connections.h"
 
 namespace reeltack::test {
 namespace {
@@ -14,18 +12,10 @@
 constexpr CallId kCall{0x91};
 
 // How many connections to an address the kernel keeps alive by probes of its own, as it lists them.
-std::size_t kept_alive_to(const net::Address& address) {
-  in_addr host{};
-  ::inet_pton(AF_INET, address.host.c_str(), &host);
-  char far_end[40];
-  std::snprintf(far_end, sizeof far_end, " %08X:%04X 01 ", host.s_addr, address.port);
-  std::ifstream table("/proc/net/tcp");
-  std::size_t count = 0;
-  for (std::string row; std::getline(table, row);) {
-    const bool to_it = row.find(far_end) != std::string::npos;
-    count += to_it && row.find(" 02:") != std::string::npos ? 1 : 0;
-  }
-  return count;
+std::ptrdiff_t kept_alive_to(const net::Address& address) {
+  const std::vector<std::string> connections = connections_to(address, KernelState::established);
+  return std::count_if(connections.begin(), connections.end(),
+                       [](const std::string& row) { return row.find(" 02:") != std::string::npos; });
 }
 
 class ScarceConnections : public EstablishedCalls {
@@ -59,10 +49,10 @@
 
 // It is for the kernel to find out whether the quiet connection still leads anywhere.
 TEST_F(ScarceConnections, QuietConnectionIsKeptAliveOnceASecondOneIsRefused) {
-  EXPECT_EQ(kept_alive_to(endpoint_->address), 0U);
+  EXPECT_EQ(kept_alive_to(endpoint_->address), 0);
   refuse_connections();
   turn_for(3s);
-  EXPECT_EQ(kept_alive_to(endpoint_->address), 1U);
+  EXPECT_EQ(kept_alive_to(endpoint_->address), 1);
 }
 
 // The connection ends by the far end's doing after a refusal: the process has died.
