Limit every verdict and the office list by what the controller's own list names

Cause: who may be sent to was decided from the ranked evidence of all members. The list of the start was the weakest of it and says nothing of what it leaves out, so a peer's sight or the older store decided, and the office list took the arbiter's word for any office. The case's log shows it: "up with 1 offices known", then the other trusted by rank survivor.

Change: the own list (recovery/own_list.h: list of the start, then the bulletin; the store's where the start has none) limits every verdict: not named, draining or at another address is barred, and no start before the listed one counts. core/office_list.cpp holds the same at the last step, withdraws at once what a complete list omits, and leaves offices of other sources alone. An empty list of the start binds too. Evidence types have a header of their own.

--- a/src/core/office_list.h
+++ b/src/core/office_list.h
@@ -3,7 +3,12 @@
 //
 // Records which source listed which office, so that a complete list from one source does not remove another's
 // offices, and routes actions to the backend of each office. Fills in since when each office's process runs
-// (`started_at`) from its reported start. An office is never listed unless a source has listed it.
+// (`started_at`) from its reported start.
+//
+// An office is never listed unless a source has listed it, whatever an arbiter decides: an arbiter can
+// withhold an office of the platform's, but an office that the platform's list does not name, or names as
+// draining, receives nothing, and no address counts but the list's. Before the first list of the platform the
+// arbiter's decisions pass as they are.
 //
 // Thread safety: OfficeList may be used from any thread; OfficeRouter is set up before the core starts.
 #pragma once
@@ -11,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 
 #include "base/wall_clock.h"
@@ -26,9 +32,8 @@
  public:
   virtual ~ListArbiter() = default;
   // The offices that the platform has listed; called on the thread that received them; must not block or call
-  // back. `live`: the platform's list is being followed; else the offices are those of the configuration.
-  // Offices missing from a complete list are not reported as gone: the arbiter decides about them, since
-  // other controllers may follow a list that has them.
+  // back. `live`: the platform's list is being followed; else the offices are those of the configuration, or
+  // of a list that is still being received. Offices missing from a complete list are not reported as gone.
   virtual void listed(bool live, bool complete, const std::vector<OfficeEntry>& offices) = 0;
   // The number of the list that the next calls of listed() belong to. Within one run of the source, the
   // higher number is newer.
@@ -44,11 +49,10 @@
   // Construct at program start: ages of starts are derived from the wall clock of that moment, among others.
   explicit OfficeList(Core& core, ReadClocks read_clocks = base::read_clocks)
       : core_(core), read_clocks_(std::move(read_clocks)), start_times_(read_clocks_()) {}
-  // With an arbiter, offices that the platform lists as draining or gone still pass at once, but ready ones
-  // only by apply_decision(). Before the first update().
+  // With an arbiter, offices that the platform lists as draining or gone, or no longer lists, still pass at
+  // once, but ready ones only by apply_decision(). Before the first update().
   void set_list_arbiter(ListArbiter& arbiter) { arbiter_ = &arbiter; }
-  // Called by the arbiter with the states that these offices are to have. An office that the platform has
-  // since listed as draining or gone, with this start or a later one, is not revived.
+  // Called by the arbiter with the states that these offices are to have; the platform's list limits them.
   void apply_decision(std::vector<OfficeEntry> offices);
   // The number of the platform's list that the next updates belong to; of two lists the higher is newer.
   void set_list_number(std::uint64_t number);
@@ -72,6 +76,13 @@
  private:
   void change_followed(bool followed);
   void fill_started_at(clocks::StartTimes::Origin origin, std::vector<OfficeEntry>& offices);
+  [[nodiscard]] const OfficeEntry* named_by_platform(ServerId office) const;
+  [[nodiscard]] bool passed_as_ready(ServerId office) const;
+  [[nodiscard]] bool is_listed_by_other(Source source, ServerId office) const;
+  [[nodiscard]] std::optional<OfficeEntry> limit(const OfficeEntry& decision) const;
+  void pass_platform_list(bool complete, const std::vector<OfficeEntry>& offices);
+  void withdraw_unlisted(std::vector<OfficeEntry>& changes) const;
+  void pass_on(std::vector<OfficeEntry> changes);
 
   Core& core_;
   const ReadClocks read_clocks_;
@@ -82,8 +93,10 @@
   std::map<Source, std::map<ServerId, OfficeEntry>> listed_;
   // Offices of the platform's source that it has not listed again since its restart; empty once it caught up.
   std::set<ServerId> unconfirmed_;
-  // With an arbiter: offices that the platform last listed as draining or gone.
-  std::map<ServerId, OfficeEntry> withdrawn_;
+  // With an arbiter: whether the platform has sent a list, the last decision on each office that is not gone,
+  // and what was passed to the core.
+  bool platform_listed_ = false;
+  std::map<ServerId, OfficeEntry> decided_, passed_;
 };
 
 // Routes each action to the backend that claims the office, else to the default one, which dials offices.
--- a/src/fleet/recovery/offices.cpp
+++ b/src/fleet/recovery/offices.cpp
@@ -69,6 +69,7 @@
   const bool is_new = !offices_.contains(evidence.office.id);
   if (is_new && offices_.size() >= settings_.max_offices) return false;
   OfficeRecord& record = offices_[evidence.office.id];
+  record.id = evidence.office.id;
   Entry entry{evidence, std::nullopt};
   if (evidence.age && *evidence.age >= Duration{}) entry.observed_at = now - *evidence.age;
   const std::uint64_t start = evidence.office.start;
@@ -131,6 +132,21 @@
   return true;
 }
 
+void OfficeEvidence::restore_own_list(const std::vector<Evidence>& stored) {
+  own_list_.restore(stored);
+  own_list_changed();
+}
+
+void OfficeEvidence::receive_own_list(bool complete, const std::vector<Evidence>& offices) {
+  own_list_.receive(complete, offices);
+  own_list_changed();
+}
+
+void OfficeEvidence::own_list_changed() {
+  limited_by_own_list_ = true;
+  for (auto& [id, record] : offices_) record.changed();
+}
+
 void OfficeEvidence::forget_source(MemberId source) {
   for (auto& [id, record] : offices_)
     if (std::erase_if(record.entries, [&](const Entry& l) {
@@ -183,6 +199,8 @@
       if (e.office.start == assessment.office.start && e.office.at == assessment.office.at &&
           assessment.verdict != Verdict::barred)
         throw std::logic_error("offices: an ended office is not barred");
+    if (limited_by_own_list_ && assessment.verdict != Verdict::barred && !own_list_.allows(assessment.office))
+      throw std::logic_error("offices: an office that the own list does not allow is not barred");
     for (const Entry& l : record.entries)
       if (l.evidence.office.id != id) throw std::logic_error("offices: evidence filed under another office");
   }
@@ -193,6 +211,11 @@
   const auto office = [&](const Office& o) {
     hash.add(std::uint64_t{o.start}).add(std::uint64_t{o.at.address} << 16U | o.at.port);
   };
+  hash.add(std::uint64_t{limited_by_own_list_});
+  for (const auto& [id, own] : own_list_.entries()) {
+    office(own.office);
+    hash.add(static_cast<std::uint64_t>(id)).add(static_cast<std::uint64_t>(own.state));
+  }
   for (const auto& [id, record] : offices_) {
     hash.add(static_cast<std::uint64_t>(id)).add(record.oldest_start).add(record.ended_start);
     hash.add_elapsed(record.first_observed_at.value_or(Time::min()), now)
--- a/src/fleet/recovery/offices.h
+++ b/src/fleet/recovery/offices.h
@@ -15,6 +15,10 @@
 //             says so, and of two lists the higher (epoch, number, digest) does. Observations of other
 //             instances do not count. A start that only peers or the store report counts only where no
 //             better source reports one.
+//   own list  Whatever the evidence: an office that the own list (own_list.h) does not name, or names as
+//             draining, is barred; so is one of which a later start is reported at another address than the
+//             own list has. At an equal start, or an unknown one there, the address in the own list counts. A
+//             later start at the same address counts: it makes the office colder.
 //   ended     Draining or gone, reported by a list for this instance: barred, permanently. No other evidence
 //             revives it; only a newer start does. The one exception is an office of unknown start (0), for
 //             which no newer start can be reported: the member that reported it ended can withdraw that; with
@@ -36,38 +40,10 @@
 #include <set>
 #include <vector>
 
-#include "fleet/members/ids.h"
+#include "fleet/recovery/own_list.h"
 
 namespace reeltack::fleet::recovery {
 
-// One instance of an office. `start` is the reported start of its process in Unix milliseconds (0: unknown,
-// long ago). The office assigns it, so it is comparable only with other starts of the same office.
-struct Office {
-  ServerId id{};
-  std::uint64_t start = 0;
-  Endpoint at{};
-  std::uint32_t place = 0;
-  double capacity = 1.0;
-  auto operator<=>(const Office&) const = default;
-};
-enum class Rank : std::uint8_t { listed, survivor, own, peer, stored };
-// absent: a complete list does not name it; bars the office only while that list is current.
-enum class OfficeState : std::uint8_t { ready, answered, draining, gone, refused, silent, absent };
-// Identifies a list of offices. Of two lists the higher takes precedence, on every member.
-struct ListId {
-  std::uint64_t epoch = 0, number = 0, digest = 0;
-  auto operator<=>(const ListId&) const = default;
-};
-struct Evidence {
-  Office office;
-  Rank rank{};
-  OfficeState state{};
-  MemberId source{};                    // the member it comes from, which may be this process
-  std::optional<Duration> age;          // none: unknown, counts as the oldest
-  ListId list{};                        // for rank listed: the list it is from
-  std::optional<Duration> uptime = {};  // of the office at that time, where known
-};
-
 // barred: receives no new set-ups. trial: one set-up at a time, from the one member that holds the slot.
 enum class Verdict : std::uint8_t { barred, trial, trusted };
 // The verdict on an office. Rank, state, source and age are those of the evidence that decided.
@@ -96,7 +72,12 @@
 
 class OfficeEvidence {
  public:
-  explicit OfficeEvidence(const EvidenceSettings& settings) : settings_(settings) {}
+  explicit OfficeEvidence(const EvidenceSettings& settings)
+      : settings_(settings), own_list_(settings.max_offices) {}
+  // From the first call of one of these on, verdicts are limited by the own list (own_list.h).
+  void restore_own_list(const std::vector<Evidence>& stored);
+  void receive_own_list(bool complete, const std::vector<Evidence>& offices);
+  [[nodiscard]] const OwnList& own_list() const { return own_list_; }
   // Ages are counted from `now`. Returns true if a verdict may have changed.
   bool add(Time now, const Evidence& evidence);
   // Drops the evidence of a member that is dead, has left or was found faulty. What it reported as ended
@@ -142,6 +123,7 @@
     bool operator==(const Decision&) const = default;
   };
   struct OfficeRecord {
+    ServerId id{};
     std::vector<Entry> entries;  // one per source and kind, in that order
     std::uint64_t ended_start = 0;
     std::vector<EndedInstance> ended;
@@ -155,7 +137,10 @@
     mutable std::optional<Time> next_change;  // the first after the time at which it was computed
     void changed() { decision.reset(), next_change.reset(); }
   };
-  [[nodiscard]] static Office current_instance(const OfficeRecord& record);
+  void own_list_changed();
+  [[nodiscard]] Office current_instance(const OfficeRecord& record, const OwnList::Entry* own) const;
+  [[nodiscard]] std::optional<Decision> decide_by_own_list(const Office& office,
+                                                           const OwnList::Entry* own) const;
   [[nodiscard]] Decision decide(const OfficeRecord& record) const;
   [[nodiscard]] Time next(Time now, const OfficeRecord& record) const;
   [[nodiscard]] OfficeAssessment assess(Time now, const OfficeRecord& record) const;
@@ -166,6 +151,8 @@
   bool drop_weakest(OfficeRecord& record) const;
 
   EvidenceSettings settings_;
+  OwnList own_list_;
+  bool limited_by_own_list_ = false;
   std::map<ServerId, OfficeRecord> offices_;
 };
 
--- a/src/fleet/recovery/recovery.cpp
+++ b/src/fleet/recovery/recovery.cpp
@@ -21,7 +21,9 @@
       offices_(with_ramp(settings)),
       leases_(settings.leases),
       opening_(settings, self),
-      live_{self} {}
+      live_{self} {
+  offices_.restore_own_list({});
+}
 
 void Recovery::on(Time now, std::span<const Event> events, Actions& actions) {
   if (started_at_ == Time::min()) started_at_ = stage_since_ = last_step_at_ = now;
@@ -49,6 +51,7 @@
     if (stored.other_fleet || (e.age && *e.age < Duration{})) e.age.reset();
     offices_.add(now, e);
   }
+  offices_.restore_own_list(stored.offices);
   if (!stored.other_fleet) {
     epochs_.restore(stored.list_epoch, stored.list_number);
     leases_.restore(std::min(stored.agreed, kMaxFleetSize), std::min(stored.largest, kMaxFleetSize));
@@ -119,6 +122,7 @@
     hash.add(static_cast<std::uint64_t>(id)).add(e.office.start).add(static_cast<std::uint64_t>(e.state));
     list_.digest += hash.add(std::uint64_t{e.office.at.address} << 16U | e.office.at.port).value();
   }
+  offices_.receive_own_list(received.complete, received.offices);
   add_listed_evidence(now);
   for (const auto& [member, peer] : peers_)
     if (live_.contains(member)) adopt_epoch(now, peer);
@@ -143,7 +147,8 @@
   assessments_valid_until_ = Time::min();
 }
 
-// Counts as stored evidence of unknown age: it outranks no other and is not published.
+// Counts as stored evidence of unknown age: it outranks no other and is not published. As the own list it
+// limits what the other evidence allows.
 void Recovery::handle_configured_list(Time now, const ListReceived& configured) {
   for (Evidence e : configured.offices) {
     e.rank = Rank::stored;
@@ -151,6 +156,7 @@
     e.age.reset();
     offices_.add(now, e);
   }
+  offices_.receive_own_list(configured.complete, configured.offices);
   assessments_valid_until_ = Time::min();
 }
 
--- a/src/fleet/recovery/verdict.cpp
+++ b/src/fleet/recovery/verdict.cpp
@@ -13,7 +13,7 @@
   return std::exp2(-static_cast<double>(age->count()) / static_cast<double>(half_life.count()));
 }
 
-Office OfficeEvidence::current_instance(const OfficeRecord& record) {
+Office OfficeEvidence::current_instance(const OfficeRecord& record, const OwnList::Entry* own) const {
   // Listed, or observed by a survivor or by this process: where there is such evidence, no peer's counts.
   const auto is_direct = [](const Entry& entry) { return entry.evidence.rank <= Rank::own; };
   Time last = Time::min();
@@ -33,11 +33,38 @@
     if (const Evidence& e = entry.evidence; !any_direct || eligible(entry))
       offer({e.office.start, -static_cast<int>(e.rank), e.list, or_earliest(entry.observed_at), e.office});
   for (const EndedInstance& e : record.ended) offer({e.office.start, 0, e.list, e.observed_at, e.office});
-  return best ? std::get<Office>(*best) : Office{};
+  const Office reported = best ? std::get<Office>(*best) : Office{};
+  if (own == nullptr) return reported;
+  const bool elsewhere = reported.at != own->office.at;
+  const bool later = best && reported.start > own->office.start;
+  return !later || (elsewhere && own->office.start == 0) ? own->office : reported;
+}
+
+// What the own list decides against all evidence; nothing: the evidence decides.
+std::optional<OfficeEvidence::Decision> OfficeEvidence::decide_by_own_list(const Office& office,
+                                                                           const OwnList::Entry* own) const {
+  if (!limited_by_own_list_) return std::nullopt;
+  Decision barred;
+  barred.office = office;
+  barred.verdict = Verdict::barred;
+  barred.rank = Rank::listed;
+  barred.state = OfficeState::absent;
+  if (own == nullptr) {
+    barred.reason = "not in the own list";
+  } else if (own->state != OfficeState::ready) {
+    barred.state = own->state;
+    barred.reason = "the own list reports it ended";
+  } else if (own->office.at != office.at) {
+    barred.reason = "started again at an address that the own list does not have";
+  } else {
+    return std::nullopt;
+  }
+  return barred;
 }
 
 OfficeEvidence::Decision OfficeEvidence::decide(const OfficeRecord& record) const {
-  Decision decided{.office = current_instance(record),
+  const OwnList::Entry* own = limited_by_own_list_ ? own_list_.find(record.id) : nullptr;
+  Decision decided{.office = current_instance(record, own),
                    .verdict = Verdict::trial,
                    .rank = Rank::stored,
                    .state = OfficeState::silent};
@@ -58,6 +85,10 @@
   for (const EndedInstance& e : record.ended)
     if (e.office.start == office.start && e.office.at == office.at)
       return conclude(Verdict::barred, Rank::listed, e.state, "a list reports it ended");
+  if (std::optional<Decision> barred = decide_by_own_list(office, own)) {
+    barred->stored_at = decided.stored_at;
+    return *barred;
+  }
   const Entry* listed = nullptr;
   const Entry* stored = nullptr;
   std::vector<const Entry*> ups;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -146,7 +146,9 @@
   } ended{core};
   core.start(sides, node.listen ? &sip : nullptr);
   if (fleet) fleet->start();
-  if (!node.known.empty()) list.update(core::Source::platform, true, node.known);
+  // With a fleet a list without offices binds too: other controllers may know some.
+  if (!node.known.empty() || (fleet && node.known_no > 0))
+    list.update(core::Source::platform, true, node.known);
   std::optional<dns::UpdateServer> zone;
   if (!fronts.zone_file.empty()) {
     dns::Zone read = dns::Zone::read(config::read_file(fronts.zone_file), fronts.zone_file);
--- a/tests/fleet/list_epochs_test.cpp
+++ b/tests/fleet/list_epochs_test.cpp
@@ -75,10 +75,13 @@
   const auto published = read_list(fleet.members[2].facts.at({facts::Kind::list, 0}).first);
   ASSERT_TRUE(published);
   EXPECT_EQ(published->id.epoch, 1U);
-  // The office is listed again, which only the new run can report.
+  // The office is listed again, which only the new run can report. Members 0 and 1 wait for their own list.
   fleet.truth.insert({office.key(), office.mapped()});
   fleet.deliver_list(2, 3);
   fleet.run(1s, false);
+  for (std::size_t i = 0; i < 4; ++i) EXPECT_EQ(usable(i), i >= 2) << i;
+  for (const std::size_t i : {0U, 1U}) fleet.deliver_list(i, 3);
+  fleet.run(1s, false);
   for (std::size_t i = 0; i < 4; ++i) EXPECT_TRUE(usable(i)) << i;
 }
 
--- a/tests/fleet/return_world_calls.cpp
+++ b/tests/fleet/return_world_calls.cpp
@@ -125,6 +125,10 @@
   a.server = set_up.server;
   a.sent = world_.now();
   a.site = sites_.size();
+  const bool by_list_of_start = variant_ == Variant::fleet && !bulletin_up_ && a.lifetime > 0;
+  if (by_list_of_start && case_.configured > 0 &&
+      static_cast<std::uint32_t>(set_up.server) >= case_.configured)
+    ++unlisted_;
   const Endpoint at = gateways_[node].addresses[set_up.server];
   for (std::size_t k = 0; k < sites_.size(); ++k)
     if (world_.offices[k].up && world_.offices[k].identity.at == at) a.site = k;
--- a/tests/fleet/sim_return_test.cpp
+++ b/tests/fleet/sim_return_test.cpp
@@ -41,6 +41,7 @@
     }
     urgent = std::max(urgent, results[0].urgent);
     EXPECT_EQ(results[0].offices_fallen, 0U) << of.name << " seed " << seed;
+    EXPECT_EQ(results[0].unlisted, 0U) << of.name << " seed " << seed;
     EXPECT_LE(results[0].urgent, 1s) << of.name << " seed " << seed;
     EXPECT_GE(results[0].part, std::min(results[1].part, results[2].part) - lost)
         << of.name << " seed " << seed;
@@ -64,5 +65,25 @@
 INSTANTIATE_TEST_SUITE_P(Cases, FleetReturn, testing::Range<std::size_t>(0, return_cases().size()),
                          [](const auto& info) { return std::string(return_cases()[info.param].name); });
 
+// What the store and the survivors say adds no office to the list of the start. The controllers that returned
+// earn with it what each would alone.
+TEST(FleetReturnList, SendsNothingToAnOfficeThatTheListOfTheStartLacks) {
+  const ReturnCase of = short_list_case();
+  double with_fleet = 0.0;
+  double alone = 0.0;
+  constexpr std::uint64_t kSeeds = 10 / kScale;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const ReturnResult result = ReturnWorld(of, Variant::fleet, seed).run();
+    EXPECT_EQ(result.unlisted, 0U) << "seed " << seed;
+    EXPECT_EQ(result.violations, 0U) << "seed " << seed;
+    EXPECT_EQ(result.offices_fallen, 0U) << "seed " << seed;
+    EXPECT_LE(result.urgent, 1s) << "seed " << seed;
+    with_fleet += result.part / kSeeds;
+    alone += ReturnWorld(of, Variant::alone, seed).run().part / kSeeds;
+  }
+  std::printf("%s worth with the fleet %.4f, each alone %.4f\n", of.name, with_fleet, alone);
+  EXPECT_GE(with_fleet, alone - kMaxLoss);
+}
+
 }  // namespace
 }  // namespace reeltack::test
