Take the time before a frozen controller resumes, and print what broke the rule

Change: the time is taken before the signal; the window is as long as before. A failure prints the samples, the moment and the log.

--- a/tests/fleet/hostile_loss_test.cpp
+++ b/tests/fleet/hostile_loss_test.cpp
@@ -24,8 +24,8 @@
   ASSERT_TRUE(rig.until(
       40s, [&] { return rig.figure(1, "offices_barred") == 1 && rig.figure(2, "offices_barred") == 1; }));
   ::usleep(10'000'000);
+  const Time thawed = base::now();  // before it resumes: it may send at once
   rig.pack().thaw(0);
-  const Time thawed = base::now();
   EXPECT_TRUE(rig.until(20s, [&] { return rig.figure(0, "offices_barred") == 1; }))
       << rig.pack().member(0).log();
   const double learned_after = std::chrono::duration<double>(base::now() - thawed).count();
@@ -48,7 +48,9 @@
   rules.finish();
   std::printf("informed after %.2f s; %zu set-ups sent before that, the last after %.2f s\n", learned_after,
               uninformed, std::chrono::duration<double>(last - thawed).count());
-  EXPECT_EQ(rules.found().after_drain, 0U);
+  EXPECT_EQ(rules.found().after_drain, 0U)
+      << "resumed at " << thawed.time_since_epoch().count() << " ns; "
+      << ::testing::PrintToString(rules.found().samples) << rig.pack().member(0).log();
   EXPECT_LT(uninformed, 20U);
   // Set-ups that it received while frozen are not answered in time; two thirds of the calls went to other
   // controllers.
