Count a trunk group's silence from the last frame, and let no dial hold its timers

Cause: a connection was given up after 3 s without a frame and only then `silence` began, so that the two added up; then the group's thread waited up to 2 s for the far end's hello, or 1 s for a connect, without a look at the group's timers.

Change: after a silence max_silence counts from when the far end was last heard (Group::disconnected), so that the sum is bounded by the 7 s that the settings allow. Connecting and the handshake wait in steps of 25 ms between which the timers run. The stand-in far end can hang.

--- a/src/circuits/group.h
+++ b/src/circuits/group.h
@@ -71,7 +71,9 @@
 
   // ---- events of the connection
   void connected(Time now, GroupActions& actions);
-  void disconnected(Time now, GroupActions& actions);
+  // `silent_since`: for a connection that was given up as silent, when the far end was last heard;
+  // max_silence runs from there.
+  void disconnected(Time now, GroupActions& actions, std::optional<Time> silent_since = {});
   // False if the message violates the protocol; the connection must then be closed.
   bool receive(Time now, const Message& message, GroupActions& actions);
   void fire(Time now, GroupActions& actions);  // runs all due timers
--- a/src/circuits/group_connection.cpp
+++ b/src/circuits/group_connection.cpp
@@ -31,12 +31,12 @@
   audit_now(now, actions);
 }
 
-void Group::disconnected(Time now, GroupActions& actions) {
+void Group::disconnected(Time now, GroupActions& actions, std::optional<Time> silent_since) {
   if (!up_) return;
   up_ = false;
   audit_due_ = settle_due_ = Time::max();
   audit_urgent_ = false;
-  silence_ends_at_ = now + settings_.max_silence;
+  silence_ends_at_ = silent_since.value_or(now) + settings_.max_silence;
   for (Cic cic = 0; cic < settings_.size; ++cic) {
     Circuit& c = circuits_[cic];
     c.unaudited = true;
--- a/src/net/net.cpp
+++ b/src/net/net.cpp
@@ -125,15 +125,18 @@
   if (error == ECONNREFUSED) return Dial::refused;
   return error == 0 ? Dial::up : Dial::failed;
 }
+void clear_nonblocking(const Fd& fd) {
+  // Reads and writes never block here (MSG_DONTWAIT), so a failure is harmless.
+  const int flags = sys::fcntl(fd.get(), F_GETFL);
+  if (flags >= 0) sys::fcntl(fd.get(), F_SETFL, flags & ~O_NONBLOCK);
+}
 Dialled dial(const Address& to, Time deadline) {
   Dialled out;
   out.fd = begin_dial(to, out.how);
   if (out.how == Dial::pending)
     out.how = wait_for(out.fd.get(), POLLOUT, deadline) ? dial_state(out.fd) : Dial::failed;
   if (out.how != Dial::up) return {Fd{}, out.how};
-  // Reads and writes never block here (MSG_DONTWAIT), so a failure to clear O_NONBLOCK is harmless.
-  const int flags = sys::fcntl(out.fd.get(), F_GETFL);
-  if (flags >= 0) sys::fcntl(out.fd.get(), F_SETFL, flags & ~O_NONBLOCK);
+  clear_nonblocking(out.fd);
   return out;
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -69,5 +69,6 @@
 // Non-blocking connect: begin_dial() starts it, dial_state() returns its progress.
 Fd begin_dial(const Address& to, Dial& how);  // Dial::pending: writable once it is up or has failed
 Dial dial_state(const Fd& fd);
+void clear_nonblocking(const Fd& fd);  // of a connection that has come up
 
 }  // namespace reeltack::net
--- a/src/standin/far_end.cpp
+++ b/src/standin/far_end.cpp
@@ -196,6 +196,9 @@
 void FarEnd::delay(Duration each) {
   world_->post([this, each] { world_->delay(each); });
 }
+void FarEnd::hang(Duration span) {
+  world_->post([span] { std::this_thread::sleep_for(span); });
+}
 void FarEnd::restart() {
   world_->post([this] { world_->restart(); });
 }
--- a/src/standin/far_end.h
+++ b/src/standin/far_end.h
@@ -41,8 +41,9 @@
   void place(std::uint64_t call, const std::string& call_class, std::uint32_t first_choice, Duration hold);
   // So long before it takes a message off the wire: a slow wire, on which seizures meet.
   void delay(Duration each);
-  void restart();  // comes back with nothing, on a new connection
-  void cut();      // breaks the connection
+  void restart();            // comes back with nothing, on a new connection
+  void cut();                // breaks the connection
+  void hang(Duration span);  // neither reads nor writes nor answers a connection for so long
   void lose(circuits::Cic first, std::uint32_t count, bool lost);
   struct Counts {
     std::uint64_t offered = 0, answered_in = 0, refused_in = 0;               // calls that came in
--- a/src/trunk/connection.cpp
+++ b/src/trunk/connection.cpp
@@ -1,5 +1,6 @@
 // The thread of a trunk group: it connects, shakes hands, and keeps the group's time while there is no
 // connection.
+#include <algorithm>
 #include <chrono>
 #include <stdexcept>
 
@@ -41,14 +42,27 @@
       if (net::Fd fd = net::accept_one(listener_, base::now() + kTick / 4)) return fd;
       idle(Time{});
     } else {
-      net::Dialled connecting = net::dial(*settings_.dial, base::now() + kConnectTimeout);
-      if (connecting.how == net::Dial::up) return std::move(connecting.fd);
+      if (net::Fd fd = dial()) return fd;
       idle(base::now() + kReconnectDelay);
     }
   }
   return {};
 }
 
+// A connect that hangs must not keep the group from its timers.
+net::Fd Trunk::dial() {
+  net::Dial progress = net::Dial::failed;
+  net::Fd fd = net::begin_dial(*settings_.dial, progress);
+  const Time by = base::now() + kConnectTimeout;
+  while (progress == net::Dial::pending && !stopping_ && base::now() < by) {
+    idle(Time{});
+    progress = net::dial_state(fd);
+  }
+  if (progress != net::Dial::up) return {};
+  net::clear_nonblocking(fd);
+  return fd;
+}
+
 void Trunk::run() {
   std::string last_reason;  // so that a handshake that fails each second fills no log
   while (!stopping_) {
@@ -77,6 +91,16 @@
   }
 }
 
+// False: the connection has ended, or nothing came in time. The group's timers run meanwhile.
+bool Trunk::await_bytes(const net::Fd& fd, net::Buffer& buffer, Time by) {
+  while (!stopping_ && base::now() < by) {
+    const net::ReadResult got = buffer.fill(fd, std::min(by, base::now() + kTick / 4));
+    if (got != net::ReadResult::no_data) return got == net::ReadResult::data;
+    idle(Time{});
+  }
+  return false;
+}
+
 // Both ends must mean the same group; else not one circuit of it is used.
 bool Trunk::handshake(const net::Fd& fd, net::Buffer& buffer) {
   Hello own;
@@ -94,7 +118,7 @@
     frame = decode(buffer.view(), used);
     buffer.take(used);
     if (frame) break;
-    if (buffer.fill(fd, by) != net::ReadResult::data) return false;
+    if (!await_bytes(fd, buffer, by)) return false;
   }
   if (!frame->hello) throw std::runtime_error("the far end did not begin with its hello");
   const Hello& far = *frame->hello;
--- a/src/trunk/serving.cpp
+++ b/src/trunk/serving.cpp
@@ -32,6 +32,7 @@
   Time heard = base::now();
   Time spoke = heard;
   std::string reason;
+  std::optional<Time> silent_since;
   // What came with the handshake's last bytes is read first.
   if (!read_frames(buffer)) reason = "it sent what no far end may send";
   while (!stopping_ && reason.empty()) {
@@ -47,7 +48,10 @@
     }
     report();
     const Time now = base::now();
-    if (now >= heard + kSilenceLimit) reason = "it is silent";
+    if (now >= heard + kSilenceLimit) {
+      reason = "it is silent";
+      silent_since = heard;
+    }
     if (!reason.empty()) break;
     std::string writing;
     {
@@ -90,7 +94,7 @@
   log("connection over: " + (reason.empty() ? std::string("this end stops") : reason));
   const std::lock_guard hold(lock_);
   circuits::GroupActions actions;
-  group_.disconnected(tick(), actions);
+  group_.disconnected(tick(), actions, silent_since);
   carry_out(actions, {}, nullptr);
   outbox_.clear();
   state_ = "down: " + reason;
--- a/src/trunk/trunk.h
+++ b/src/trunk/trunk.h
@@ -79,6 +79,8 @@
   };
   void run();
   net::Fd connect();
+  net::Fd dial();  // empty: no connection came up in time
+  bool await_bytes(const net::Fd& fd, net::Buffer& buffer, Time by);
   bool handshake(const net::Fd& fd, net::Buffer& buffer);
   void serve(const net::Fd& fd, net::Buffer& buffer);
   bool read_frames(net::Buffer& buffer);  // false: the connection must end
--- a/tests/circuits/wire_test.cpp
+++ b/tests/circuits/wire_test.cpp
@@ -28,6 +28,25 @@
   EXPECT_EQ(w.calls[kLow][2], CallState::ended) << "the audit found it established at one end only";
 }
 
+// Guards against: the time until a connection was given up as silent was added to max_silence.
+TEST(Wire, AfterASilenceEstablishedCallsEndMaxSilenceAfterTheFarEndWasHeard) {
+  Ends w = connected_ends(4);
+  w.originate(kHigh, 1);
+  w.run_for(1ms);
+  w.answer(kLow, 1);
+  w.run_for(1ms);
+  const Time heard = w.now;
+  w.up = false;
+  w.now += 3s;
+  GroupActions actions;
+  w.ends[kHigh].disconnected(w.now, actions, heard);
+  w.carry_out(kHigh, actions);
+  EXPECT_EQ(w.ends[kHigh].next_due(), heard + w.settings[kHigh].max_silence);
+  w.now = heard + w.settings[kHigh].max_silence;
+  w.fire(kHigh);
+  EXPECT_EQ(w.calls[kHigh][1], CallState::ended);
+}
+
 TEST(Wire, ABlockCrossesASeizureAndTheSeizureIsServed) {
   Ends w = connected_ends(1);
   GroupActions actions;
