Rank the calls of a connection that asks for more than its share behind others

Cause: reading is fair by connection, admission was not: the module did not know on which connection a call came. The flood filled the queue to EQ 1's limit in the order of arrival, won the tokens, made its class look underserved, and left its numbers as those of callers who try again, so that usual calls to them ranked as late.

They get no token, their numbers are not remembered, and their tries count by as much less. A connection alone, and calls without one, are as before. EQ 1's rate is summed once a step, where the servers are walked anyway.

--- a/include/reeltack/events.h
+++ b/include/reeltack/events.h
@@ -48,6 +48,7 @@
   bool redial = false;
   bool in_transit = false;      // may be sent to its destination only
   bool dropped_before = false;  // repeats an established call that was dropped
+  CallerConnection connection{};
 };
 
 /// The set-up succeeded; no final answer is due any more.
--- a/include/reeltack/settings.h
+++ b/include/reeltack/settings.h
@@ -27,6 +27,8 @@
 enum class ServerId : std::uint32_t {};
 enum class CalledNumber : std::uint64_t {};  // 0: unknown
 enum class TimerToken : std::uint64_t {};
+/// A connection of callers. Connections of different numbers share the servers fairly.
+enum class CallerConnection : std::uint64_t {};  // 0: unknown; such calls are bound by no share
 
 /// Whether a call may be attempted again after an attempt that may have had an effect at a server.
 enum class Effect { repeatable, by_key, once };
--- a/src/core/admit.cpp
+++ b/src/core/admit.cpp
@@ -18,6 +18,7 @@
   ++counts_.requests;
   const Time deadline = request.arrival.caller_leaves_at - kAnswerLead;
   request.arrival.caller_leaves_at = deadline;
+  request.arrival.connection = CallerConnection{static_cast<std::uint64_t>(request.source)};
   Record& record = calls_[call];
   record.request = std::move(request);
   record.admitted_at = now_;
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -2,7 +2,7 @@
 // This layer handles neither attempts nor unanswered set-ups.
 #pragma once
 
-#include "policy/final_answers.h"
+#include "policy/fair_share.h"
 
 namespace reeltack::policy {
 
@@ -14,7 +14,7 @@
 constexpr double kUnderservedFraction = 0.8;
 constexpr double kEnoughTries = 20.0;
 
-struct Admission : FinalAnswers {
+struct Admission : FairShare {
   void admit(const CallArrived& request) {
     if (calls_.contains(request.call)) return;
     Call call;
@@ -25,9 +25,12 @@
     if (known) call.aim += scaled(request.work_hint, settings_.classes[request.call_class].aim_stretch);
     call.arrival_order = ++arrivals_;
     find_first_try(call);
+    call.over_share = count_try(request.connection);
+    if (call.over_share > 1.0) log("a connection asks for more than its share: its calls lose priority");
+    if (excess_has_grown(request.connection, call.over_share)) lower_waiting_calls(call);
     if (!request.redial && call.first_tried_at >= last_step_at_) {
-      add(first_tries_);
-      if (known) add(class_tries_[request.call_class]);
+      add(first_tries_, 1.0 / call.over_share);
+      if (known) add(class_tries_[request.call_class], 1.0 / call.over_share);
     }
     call.level = level_by_worth(call);
     update_shares();
@@ -41,19 +44,13 @@
     bind(calls_.emplace(request.call, call).first->second);
   }
 
-  // EQ 1: at most A = tau * r open set-ups, where r is the rate that the servers can answer for this gateway,
-  // one set-up at a time at each.
+  // EQ 1: at most A = tau * r open set-ups; without a measurement of each server there is no limit.
   //
   // EXCEPTION: at the limit, a more urgent arrival takes the place of the least urgent waiting call.
   bool rough_admission(const Call& call) {
-    double rate = 0.0;
-    for (const auto& [id, s] : servers_) {
-      if (!is_ready(s)) continue;
-      if (s.mean_delay == Duration{}) return true;  // without a measurement there is no limit
-      rate += 1.0 / std::max(seconds(s.mean_delay), 1.0e-6);
-    }
-    if (rate <= 0.0 || static_cast<double>(calls_.size()) < std::max(1.0, seconds(call.aim) * rate))
-      return true;
+    const double limit = std::max(1.0, seconds(call.aim) * answerable_per_second_);
+    const bool limited = all_measured_ && answerable_per_second_ > 0.0;
+    if (!limited || static_cast<double>(calls_.size()) < limit) return true;
     Call* least_urgent = nullptr;
     for (auto& [id, s] : servers_) {
       for (std::size_t level = kLowestLevel; level > call.level; --level) {
@@ -74,23 +71,42 @@
     const double d = decayed(established_) > 0.0 ? kGuaranteedFraction * per_second(established_) : 0.0;
     tokens_ = std::min(std::max(d, d > 0.0 ? 1.0 : 0.0), tokens_ + d * seconds(now_ - tokens_updated_at_));
     tokens_updated_at_ = now_;
-    if (tokens_ < 1.0 || call.level == kLowestLevel || call.late) return;
+    if (tokens_ < 1.0 || call.level == kLowestLevel || call.late || call.over_share > 1.0) return;
     tokens_ -= 1.0;
     call.level = kTopLevel;
   }
 
   // Levels below the top: urgent, then by the worth that the call can still earn.
+  //
+  // EXCEPTION (a connection that floods): the worth of its calls is divided by the factor by which it asks
+  // for more than it may. Among them the order by worth stays.
   std::size_t level_by_worth(const Call& call) {
     if (call.request.call_class >= settings_.classes.size()) return kLowestLevel;
-    if (call.request.dropped_before) return kUrgentLevel;
+    const std::size_t lowered = levels_lowered(call.over_share);
+    if (call.request.dropped_before) return kUrgentLevel + lowered;
     if (busy_numbers_.contains(call.request.number)) return kLowestLevel;
     double worth = settings_.classes[call.request.call_class].worth;
     if (call.late) return kLateLevel;
     const double halvings = std::log2(best_worth_ / std::max(worth, 1.0e-9));
     double level = static_cast<double>(kUrgentLevel) + 1.0 + std::floor(std::max(halvings, 0.0) + 0.5);
     if (call.request.call_class == most_underserved_class()) level -= 1.0;
-    return static_cast<std::size_t>(
-        std::clamp(level, static_cast<double>(kUrgentLevel), static_cast<double>(kLateLevel - 1)));
+    return lowered + static_cast<std::size_t>(std::clamp(level, static_cast<double>(kUrgentLevel),
+                                                         static_cast<double>(kLeastWorthLevel)));
+  }
+
+  // The calls that came before the excess of their connection showed are ranked by it as well.
+  void lower_waiting_calls(const Call& newest) {
+    for (auto& [id, call] : calls_) {
+      const bool by_worth = call.level != kTopLevel && call.level < kLateLevel;
+      if (call.request.connection != newest.request.connection || call.state != CallState::waiting ||
+          !by_worth)
+        continue;
+      Queue& queue = call.bound_to ? servers_.at(*call.bound_to).queue : unbound_;
+      remove(call);
+      call.over_share = newest.over_share;
+      call.level = level_by_worth(call);
+      insert(call, queue);
+    }
   }
 
   // EXCEPTION (classes of similar worth with different aims): the class of whose recent tries the smallest
--- a/src/policy/eligibility.h
+++ b/src/policy/eligibility.h
@@ -140,9 +140,13 @@
   void update_shares() {
     total_size_ = 0.0;
     usable_size_ = 0.0;
+    answerable_per_second_ = 0.0;
     bool any_cold = false;
+    all_measured_ = true;
     for (const auto& [id, s] : servers_) {
       if (!is_ready(s)) continue;
+      all_measured_ = all_measured_ && s.mean_delay != Duration{};
+      if (s.mean_delay != Duration{}) answerable_per_second_ += 1.0 / std::max(seconds(s.mean_delay), 1.0e-6);
       total_size_ += relative_size(s);
       any_cold = any_cold || is_cold(s);
       usable_size_ += relative_size(s) * (is_cold(s) ? std::min(cold_shares(s), 1.0) : 1.0);
@@ -152,6 +156,10 @@
     established_per_size_ = per_second(established_by_size_, 1.0 / std::max(usable_size_, 1.0e-6));
   }
 
+  // "r" of EQ 1: the calls that the ready servers can answer for this gateway, one set-up at a time at each,
+  // as far as they have been measured.
+  double answerable_per_second_ = 0.0;
+  bool all_measured_ = true;                         // of the ready servers
   double mean_lines_ = 1.0;                          // of the servers that reported theirs
   std::map<std::uint32_t, double> class_fractions_;  // by class, as of the last step with a cold server
   double first_tries_per_second_ = 0.0;
--- a/src/policy/final_answers.h
+++ b/src/policy/final_answers.h
@@ -66,8 +66,10 @@
     calls_.erase(found);
   }
 
+  // Of a connection that floods nothing is remembered: by the number alone, its tries would be taken for
+  // those of other callers.
   void remember_first_try(const Call& call) {
-    if (call.request.number == CalledNumber{}) return;
+    if (call.request.number == CalledNumber{} || call.over_share > 1.0) return;
     if (!first_try_at_.emplace(call.request.number, call.first_tried_at).second) return;
     first_try_expiry_.emplace_back(now_ + settings_.classes[call.request.call_class].deadline,
                                    call.request.number);
--- a/src/policy/outcome_handling.h
+++ b/src/policy/outcome_handling.h
@@ -23,7 +23,8 @@
     add(established_);
     if (usable_size_ > 0.0) add(established_by_size_, 1.0 / usable_size_);
     const auto call = calls_.find(event.call);
-    if (call != calls_.end()) add(class_established_[call->second.request.call_class]);
+    if (call != calls_.end())
+      add(class_established_[call->second.request.call_class], 1.0 / call->second.over_share);
     calls_.erase(event.call);
   }
 
--- a/src/policy/shared_state.h
+++ b/src/policy/shared_state.h
@@ -15,10 +15,13 @@
 
 namespace reeltack::policy {
 
-// Priority levels: 0 is the top, 1 is urgent; below, by worth, each level worth half of the one above it.
-constexpr std::size_t kLevels = 10;
+// Priority levels: 0 is the top, 1 is urgent; below, by worth, each level worth half of the one above it,
+// down to kLeastWorthLevel; then as many levels for calls of connections that ask for more than their share.
+constexpr std::size_t kLevels = 16;
 constexpr std::size_t kTopLevel = 0;
 constexpr std::size_t kUrgentLevel = 1;
+constexpr std::size_t kLeastWorthLevel = 7;
+constexpr std::size_t kMaxShareLevels = 6;         // by which such a call is lowered at most
 constexpr std::size_t kLowestLevel = kLevels - 1;  // calls to numbers that were found busy
 constexpr std::size_t kLateLevel = kLevels - 2;    // calls whose aim has passed
 // Interval at which waiting calls are checked again, as a fraction of the shortest aim.
@@ -42,6 +45,7 @@
   bool late = false;      // the aim had passed when the call arrived
   Duration aim{};
   std::size_t level = kLowestLevel;
+  double over_share = 1.0;  // its connection asked for this multiple of what it may ask for
   CallState state = CallState::waiting;
   std::optional<ServerId> bound_to;
   std::uint32_t attempts = 0;
