Split the loop that serves a trunk group's connection into steps with names

Change: its steps are functions of their own: the connection's begin and end, the timers, the write, the wait for an event. The order of the steps, the messages and the times are as before; of a connection that is both silent and unread the reason is its silence, as it was.

--- a/src/trunk/trunk.h
+++ b/src/trunk/trunk.h
@@ -83,6 +83,13 @@
   bool await_bytes(const net::Fd& fd, net::Buffer& buffer, Time by);
   bool handshake(const net::Fd& fd, net::Buffer& buffer);
   void serve(const net::Fd& fd, net::Buffer& buffer);
+  void connection_begins();
+  void connection_ends(const std::string& reason, std::optional<Time> silent_since);
+  Time run_timers(Time spoke);
+  [[nodiscard]] bool queued_too_much() const;
+  enum class Written { nothing, blocked, part, whole, failed };
+  Written write_due(const net::Fd& fd, Time now);
+  bool await_event(const net::Fd& fd, bool writing, Time due);
   bool read_frames(net::Buffer& buffer);  // false: the connection must end
   void idle(Time until);                  // keeps the group's time while there is no connection
   void carry_out(const circuits::GroupActions& actions, const Words& words, const Signal* from);
