--- a/tests/circuits/connected_ends.h
+++ b/tests/circuits/connected_ends.h
@@ -25,6 +25,14 @@
 inline constexpr std::size_t kHigh = 0;
 inline constexpr std::size_t kLow = 1;
 
+// A call of the high end, answered by the low end.
+inline void establish(Ends& w, std::uint64_t call) {
+  w.originate(kHigh, call);
+  w.run_for(std::chrono::milliseconds(1));
+  w.answer(kLow, call);
+  w.run_for(std::chrono::milliseconds(1));
+}
+
 // Time after which a stuck circuit must be free again, with a margin for messages in flight.
 inline Duration settle_time(const Ends& w) {
   return max_settle_time(w.settings[0]) + std::chrono::seconds(1);
--- a/tests/circuits/wire_test.cpp
+++ b/tests/circuits/wire_test.cpp
@@ -31,10 +31,7 @@
 // Guards against: the time until a connection was given up as silent was added to max_silence.
 TEST(Wire, AfterASilenceEstablishedCallsEndMaxSilenceAfterTheFarEndWasHeard) {
   Ends w = connected_ends(4);
-  w.originate(kHigh, 1);
-  w.run_for(1ms);
-  w.answer(kLow, 1);
-  w.run_for(1ms);
+  establish(w, 1);
   const Time heard = w.now;
   w.up = false;
   w.now += 3s;
@@ -72,10 +69,7 @@
 
 TEST(Wire, AnImmediateBlockReleasesEstablishedCalls) {
   Ends w = connected_ends(2);
-  w.originate(kHigh, 1);
-  w.run_for(1ms);
-  w.answer(kLow, 1);
-  w.run_for(1ms);
+  establish(w, 1);
   w.drops_allowed = true;
   GroupActions actions;
   w.ends[kLow].block(w.now, 0, 2, true, actions);
@@ -121,10 +115,7 @@
 
 TEST(Wire, ALongBreakEndsEstablishedCallsAtBothEnds) {
   Ends w = connected_ends(2);
-  w.originate(kHigh, 1);
-  w.run_for(1ms);
-  w.answer(kLow, 1);
-  w.run_for(1ms);
+  establish(w, 1);
   w.disconnect();
   w.drops_allowed = true;
   w.run_for(6s);
